feat: workspace skeleton with core types, border types and checks

Cause: the repository was empty; every other part needs crates, ids, the configuration types, border types generated from schemas, error kinds and a test command. Ruled out: one type per limited text or number in the generated code (the generator then needs a pattern library at run time); limits are enforced by the schema check instead, which reports every fault at once.

--- /dev/null
+++ b/ibiscroft-core/src/lib.rs
@@ -0,0 +1,14 @@
+//! Coordination parts of ibiscroft as sans-IO state machines.
+//!
+//! Every part takes its state, an event and an instant, and returns actions. There are no
+//! sockets, clocks or runtimes here, and randomness is passed in, so the same code runs in a
+//! daemon, under a fuzzer and under trace replay.
+
+mod macros;
+
+pub mod config;
+pub mod ids;
+pub mod rendezvous;
+pub mod time;
+
+pub use time::Tick;
--- /dev/null
+++ b/ibiscroft-core/src/time.rs
@@ -0,0 +1,70 @@
+//! Time as an input: a monotonic instant that the embedding program supplies.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// A point on the embedding program's monotonic clock, in microseconds since its origin.
+///
+/// The core never reads a clock; each event carries its instant.
+///
+/// ```
+/// use ibiscroft_core::Tick;
+/// use std::time::Duration;
+///
+/// let later = Tick::ZERO + Duration::from_millis(2);
+/// assert_eq!(later.since(Tick::ZERO), Duration::from_millis(2));
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Tick(u64);
+
+impl Tick {
+    /// The origin of the clock.
+    pub const ZERO: Self = Self(0);
+
+    /// Makes an instant from microseconds since the origin.
+    #[must_use]
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Makes an instant from milliseconds since the origin.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Returns the microseconds since the origin.
+    #[must_use]
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time since `earlier`, zero when `earlier` is later than `self`.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Tick {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)))
+    }
+}
+
+impl Sub<Tick> for Tick {
+    type Output = Duration;
+
+    fn sub(self, earlier: Tick) -> Duration {
+        self.since(earlier)
+    }
+}
+
+impl fmt::Display for Tick {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} us", self.0)
+    }
+}
--- /dev/null
+++ b/ibiscroft-lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Skeleton.
--- /dev/null
+++ b/ibiscroft-wire/src/generated.rs
@@ -0,0 +1,16 @@
+//! Border types, generated from the schemas in `schemas` and committed.
+#![allow(missing_docs, clippy::all, clippy::pedantic, unreachable_pub, unused_qualifications)]
+#![allow(rust_2018_idioms, clippy::needless_pass_by_value, clippy::uninlined_format_args)]
+
+#[rustfmt::skip]
+pub mod configuration;
+#[rustfmt::skip]
+pub mod peer;
+#[rustfmt::skip]
+pub mod problem;
+#[rustfmt::skip]
+pub mod questionnaire;
+#[rustfmt::skip]
+pub mod settings;
+#[rustfmt::skip]
+pub mod store;
--- /dev/null
+++ b/ibiscroft-wire/src/lib.rs
@@ -0,0 +1,13 @@
+//! Border types, codecs, header and key names, and error kinds of ibiscroft.
+
+pub mod codec;
+pub mod error_kind;
+pub mod generated;
+pub mod headers;
+pub mod keys;
+pub mod questionnaire;
+pub mod records;
+pub mod schema_check;
+
+pub use error_kind::{ErrorAnswer, ErrorKind};
+pub use schema_check::{Fault, Faults, Schema};
--- /dev/null
+++ b/ibiscroft-wire/tests/it/generator.rs
@@ -0,0 +1,43 @@
+//! Generates Rust types from a JSON Schema.
+
+use std::error::Error;
+use std::path::{Path, PathBuf};
+
+use serde_json::Value;
+
+/// Names of the schemas, which are also the names of the generated modules.
+pub(crate) const SCHEMAS: [&str; 6] =
+    ["configuration", "peer", "problem", "questionnaire", "settings", "store"];
+
+/// Returns where the generated code of schema `name` is kept.
+pub(crate) fn output_path(root: &Path, name: &str) -> PathBuf {
+    root.join("src/generated").join(format!("{name}.rs"))
+}
+
+/// Returns the generated code of schema `name`.
+pub(crate) fn generate(root: &Path, name: &str) -> Result<String, Box<dyn Error>> {
+    let path = root.join("schemas").join(format!("{name}.schema.json"));
+    let mut document = serde_json::from_str::<Value>(&std::fs::read_to_string(&path)?)?;
+    remove_value_limits(&mut document);
+    let schema = serde_json::from_value::<schemars::schema::RootSchema>(document)?;
+    let mut settings = typify::TypeSpaceSettings::default();
+    settings.with_struct_builder(false).with_derive("PartialEq".to_string());
+    let mut types = typify::TypeSpace::new(&settings);
+    types.add_root_schema(schema)?;
+    let file = syn::parse2::<syn::File>(types.to_stream())?;
+    Ok(format!("//! Generated from the schema `{name}`.\n\n{}", prettyplease::unparse(&file)))
+}
+
+/// Removes limits that would give each field a type of its own; the schema check enforces them.
+fn remove_value_limits(value: &mut Value) {
+    match value {
+        Value::Object(map) => {
+            for keyword in ["pattern", "minLength", "maxLength", "minimum", "maximum"] {
+                map.retain(|key, value| key != keyword || value.is_object());
+            }
+            map.values_mut().for_each(remove_value_limits);
+        }
+        Value::Array(items) => items.iter_mut().for_each(remove_value_limits),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/ibiscroft-wire/tests/it/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the border types.
+
+mod generated;
+mod generator;
