--- /dev/null
+++ b/ibiscroft-core/src/admission.rs
@@ -0,0 +1,1 @@
+//! Bounded waiting and early refusal under overload.
--- /dev/null
+++ b/ibiscroft-core/src/budget.rs
@@ -0,0 +1,1 @@
+//! Token buckets and retry budgets.
--- /dev/null
+++ b/ibiscroft-core/src/gossip.rs
@@ -0,0 +1,1 @@
+//! Spreads the newest registers and news among gateways.
--- /dev/null
+++ b/ibiscroft-core/src/integrity.rs
@@ -0,0 +1,1 @@
+//! Recognises whole, crossed and truncated answers.
--- /dev/null
+++ b/ibiscroft-core/src/leaving.rs
@@ -0,0 +1,1 @@
+//! Targets and instances that start leaving.
--- a/ibiscroft-core/src/lib.rs
+++ b/ibiscroft-core/src/lib.rs
@@ -6,9 +6,21 @@
 
 mod macros;
 
+pub mod admission;
+pub mod budget;
+pub mod claims;
 pub mod config;
+pub mod gossip;
 pub mod ids;
+pub mod integrity;
+pub mod leaving;
+pub mod measuring;
+pub mod permits;
+pub mod quarantine;
+pub mod register;
 pub mod rendezvous;
+pub mod roster;
+pub mod selection;
 pub mod time;
 
 pub use time::Tick;
--- /dev/null
+++ b/ibiscroft-core/src/measuring.rs
@@ -0,0 +1,1 @@
+//! Keeps measuring requests within their budget.
--- /dev/null
+++ b/ibiscroft-core/src/permits.rs
@@ -0,0 +1,1 @@
+//! Permits for requests to targets in cold start.
--- /dev/null
+++ b/ibiscroft-core/src/quarantine.rs
@@ -0,0 +1,1 @@
+//! Contains requests that crash backend servers.
--- /dev/null
+++ b/ibiscroft-core/src/register.rs
@@ -0,0 +1,1 @@
+//! Registers whose generation only rises.
--- /dev/null
+++ b/ibiscroft-core/src/roster.rs
@@ -0,0 +1,1 @@
+//! Live instances and their leases.
--- /dev/null
+++ b/ibiscroft-core/src/selection.rs
@@ -0,0 +1,1 @@
+//! Selects a target for a request.
--- a/ibiscroft-core/tests/it/main.rs
+++ b/ibiscroft-core/tests/it/main.rs
@@ -1,1 +1,14 @@
-//! Tests of ibiscroft-core.
+//! Tests of the coordination parts.
+
+mod admission;
+mod budget;
+mod claims;
+mod gossip;
+mod integrity;
+mod leaving;
+mod measuring;
+mod permits;
+mod quarantine;
+mod register;
+mod roster;
+mod selection;
