feat: stand-in store and backend server

Cause: the thin path, the tests and the experiments need the platform's key-value service and backend servers that count what they receive. Ruled out: relying on poem to drop a handler when its caller leaves; poem 3.1.12 awaits the connection again after its error, so the handler runs on (seen: a cancelled 60 s request held its slot). The acceptor therefore registers each connection, and a handler ends with its connection.

--- /dev/null
+++ b/ibiscroft-lab/src/backend/answer.rs
@@ -0,0 +1,72 @@
+//! Bodies of answers, with the faults injected into them.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream::{self, Stream};
+
+use super::control::AnswerFaults;
+use super::pattern::Pattern;
+use super::range::ByteRange;
+use super::shared::Shared;
+use super::work::{Received, Slot};
+use crate::server::Connection;
+
+const BLOCK_BYTES: u64 = 64 * 1024;
+
+/// What a body holds while it is sent.
+#[derive(Debug)]
+pub(super) struct BodyState {
+    pub(super) shared: Arc<Shared>,
+    pub(super) _received: Received,
+    pub(super) connection: Arc<Connection>,
+    pub(super) slot: Slot,
+    pub(super) pattern: Pattern,
+    pub(super) range: ByteRange,
+    pub(super) faults: AnswerFaults,
+    pub(super) block_delay: Duration,
+}
+
+/// Returns the blocks of a body; the slot is held until the last one.
+pub(super) fn body(state: BodyState) -> impl Stream<Item = io::Result<Bytes>> + Send + 'static {
+    let start = state.range.start;
+    stream::try_unfold((state, start), |(mut state, at)| async move {
+        let sent = at - state.range.start;
+        if at >= state.range.end {
+            return Ok(None);
+        }
+        let limit = fault_limit(&state.faults);
+        if limit.is_some_and(|limit| sent >= limit) {
+            return Err(fail(&state).await);
+        }
+        if !state.block_delay.is_zero() {
+            tokio::time::sleep(state.block_delay).await;
+        }
+        let mut end = state.range.end.min(at + BLOCK_BYTES);
+        if let Some(limit) = limit {
+            end = end.min(state.range.start + limit);
+        }
+        let block = state.pattern.slice(at, end);
+        if end == state.range.end {
+            state.slot.finish();
+        }
+        Ok(Some((block, (state, end))))
+    })
+}
+
+fn fault_limit(faults: &AnswerFaults) -> Option<u64> {
+    [faults.truncate_after, faults.stall_after, faults.crash_after].into_iter().flatten().min()
+}
+
+/// Stalls, crashes, or returns the error that ends the connection.
+async fn fail(state: &BodyState) -> io::Error {
+    if state.faults.stall_after.is_some() {
+        state.connection.ended().await;
+    }
+    if state.faults.crash_after.is_some() {
+        state.shared.crash();
+    }
+    io::Error::other("body truncated by the lab")
+}
--- /dev/null
+++ b/ibiscroft-lab/src/backend/shared.rs
@@ -0,0 +1,226 @@
+//! State of a running backend server, shared by its listeners.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use eyre::Result;
+use ibiscroft_core::Tick;
+use rand::{Rng, SeedableRng};
+use tokio::sync::Semaphore;
+
+use super::cold_start::ColdStart;
+use super::control::{AnswerFaults, Control};
+use super::counters::BackendCounters;
+use super::drain::Drain;
+use super::executions::Executions;
+use super::journal::{Journal, JournalEntry};
+use super::noise::Noise;
+use super::options::{BackendOptions, CrashMode};
+use super::polls::Polls;
+use crate::server::Connections;
+
+/// Doubled keys named in the counters.
+const MAX_DOUBLED_KEYS_NAMED: usize = 20;
+/// Factor on work while more is in flight than a cold server bears.
+const COLD_OVERLOAD_FACTOR: f64 = 10.0;
+
+/// State behind the server's lock.
+#[derive(Debug)]
+pub(super) struct Inner {
+    pub(super) run_id: String,
+    pub(super) cold: ColdStart,
+    pub(super) drain: Drain,
+    pub(super) executions: Executions,
+    pub(super) polls: Polls,
+    pub(super) counts: BackendCounters,
+    pub(super) running: usize,
+    pub(super) waiting: usize,
+    pub(super) unhealthy: bool,
+    pub(super) own_validator: bool,
+    pub(super) reported_load: Option<(Tick, String)>,
+    noise: Noise,
+    slow_factor: f64,
+    faults: AnswerFaults,
+    journal: Option<Journal>,
+}
+
+/// State shared by the listeners of one backend server.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) options: BackendOptions,
+    pub(super) connections: Arc<Connections>,
+    pub(super) slots: Arc<Semaphore>,
+    inner: Mutex<Inner>,
+    started: Instant,
+}
+
+impl Shared {
+    pub(super) fn new(options: BackendOptions, connections: Arc<Connections>) -> Result<Self> {
+        let journal = options.journal.as_deref().map(Journal::open).transpose()?;
+        let inner = Inner {
+            run_id: new_run_id(),
+            cold: ColdStart::new(options.cold_bears, options.warm_up),
+            drain: Drain::default(),
+            executions: Executions::default(),
+            polls: Polls::default(),
+            counts: BackendCounters::default(),
+            running: 0,
+            waiting: 0,
+            unhealthy: false,
+            own_validator: false,
+            reported_load: None,
+            noise: Noise::new(options.noise, options.seed),
+            slow_factor: 1.0,
+            faults: AnswerFaults::default(),
+            journal,
+        };
+        Ok(Self {
+            slots: Arc::new(Semaphore::new(options.slots)),
+            options,
+            connections,
+            inner: Mutex::new(inner),
+            started: Instant::now(),
+        })
+    }
+
+    pub(super) fn now(&self) -> Tick {
+        Tick::ZERO + self.started.elapsed()
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn apply(&self, control: &Control) {
+        let now = self.now();
+        self.lock().apply(control, now);
+        if control.silence_connections == Some(true) {
+            self.connections.silence_all();
+        }
+    }
+
+    /// Ends the process or begins a new run, as the options say.
+    pub(super) fn crash(&self) {
+        if self.options.crash == CrashMode::Exit {
+            std::process::exit(BackendOptions::CRASH_EXIT_CODE);
+        }
+        self.lock().counts.crashes += 1;
+        self.restart();
+    }
+
+    pub(super) fn restart(&self) {
+        let mut inner = self.lock();
+        inner.run_id = new_run_id();
+        inner.drain.withdraw();
+        if !self.options.warm_up.is_zero() {
+            inner.cold.cool();
+        }
+        drop(inner);
+        self.connections.close_all();
+    }
+
+    pub(super) fn reset(&self) {
+        let mut inner = self.lock();
+        inner.counts = BackendCounters::default();
+        inner.executions = Executions::default();
+        inner.polls = Polls::default();
+        inner.cold.reset_counters();
+        inner.drain.reset_counters();
+    }
+
+    pub(super) fn counters(&self) -> BackendCounters {
+        let now = self.now();
+        let mut counters = self.lock().counters(now);
+        counters.name.clone_from(&self.options.name);
+        counters.connections_accepted = self.connections.accepted();
+        counters.connections_open = self.connections.open();
+        counters.connections_peak = self.connections.peak();
+        counters
+    }
+}
+
+impl Inner {
+    /// Returns the state that answers announce.
+    pub(super) fn state(&mut self, now: Tick) -> &'static str {
+        if self.drain.is_draining() {
+            return "draining";
+        }
+        if self.cold.is_cold(now) { "cold" } else { "warm" }
+    }
+
+    /// Returns the factor on work that begins now.
+    pub(super) fn work_factor(&mut self, now: Tick) -> f64 {
+        let mut factor = self.slow_factor * self.noise.factor(now);
+        if self.cold.is_overloaded(now) {
+            factor *= COLD_OVERLOAD_FACTOR;
+        }
+        factor
+    }
+
+    /// Takes the faults for one answer.
+    pub(super) fn take_faults(&mut self) -> AnswerFaults {
+        if self.faults.count == 0 {
+            return AnswerFaults::default();
+        }
+        self.faults.count -= 1;
+        self.faults.clone()
+    }
+
+    /// Records that a request begins to run.
+    pub(super) fn record_run(&mut self, key: Option<String>, call: Option<String>) {
+        self.counts.ran += 1;
+        self.counts.peak_running = self.counts.peak_running.max(self.running);
+        self.executions.record(key.as_deref(), call.as_deref());
+        if key.is_none() && call.is_none() {
+            return;
+        }
+        if let Some(journal) = &mut self.journal {
+            journal.append(&JournalEntry { run: self.run_id.clone(), key, call });
+        }
+    }
+
+    fn apply(&mut self, control: &Control, now: Tick) {
+        match control.draining {
+            Some(true) => self.drain.announce(now),
+            Some(false) => self.drain.withdraw(),
+            None => {}
+        }
+        match control.cold {
+            Some(true) => self.cold.cool(),
+            Some(false) => self.cold.warm(),
+            None => {}
+        }
+        self.slow_factor = control.slow_factor.unwrap_or(self.slow_factor);
+        self.unhealthy = control.unhealthy.unwrap_or(self.unhealthy);
+        self.own_validator = control.own_validator.unwrap_or(self.own_validator);
+        if let Some(faults) = &control.answer_faults {
+            self.faults = faults.clone();
+        }
+    }
+
+    fn counters(&mut self, now: Tick) -> BackendCounters {
+        let mut counters = self.counts.clone();
+        counters.run_id.clone_from(&self.run_id);
+        counters.state = self.state(now).to_string();
+        counters.running = self.running;
+        counters.waiting = self.waiting;
+        let doubled = self.executions.doubled();
+        counters.keys_ran = self.executions.keys();
+        counters.doubled = doubled.len();
+        counters.doubled_keys = doubled.into_iter().take(MAX_DOUBLED_KEYS_NAMED).collect();
+        counters.times_cold = self.cold.times();
+        counters.cold_received = self.cold.received();
+        counters.cold_peak = self.cold.peak();
+        counters.cold_violations = self.cold.violations();
+        counters.received_while_draining = self.drain.received();
+        counters.last_while_draining_ms = self.drain.last_after().as_millis() as u64;
+        counters.load_polls = self.polls.load;
+        counters.health_polls = self.polls.health;
+        counters.peak_polls_per_second = self.polls.peak_per_second;
+        counters
+    }
+}
+
+fn new_run_id() -> String {
+    format!("{:016x}", rand::rngs::SmallRng::from_os_rng().random::<u64>())
+}
--- a/ibiscroft-lab/src/lib.rs
+++ b/ibiscroft-lab/src/lib.rs
@@ -1,1 +1,9 @@
-//! Skeleton.
+//! Stand-ins for the platform and for backend servers, load tool and demo of ibiscroft.
+//!
+//! Each stand-in runs as a process (`ibiscroft-lab store`, `ibiscroft-lab backend`) or inside a
+//! test. Nothing here is shipped.
+
+pub mod backend;
+pub mod cli;
+pub mod server;
+pub mod store;
--- /dev/null
+++ b/ibiscroft-lab/src/server.rs
@@ -0,0 +1,71 @@
+//! HTTP server whose connections can be closed or silenced from outside.
+
+mod connections;
+mod listener;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use poem::{IntoEndpoint, Server};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+pub use connections::{Connection, Connections};
+use listener::ControlledAcceptor;
+
+/// A server that runs until it is dropped.
+#[derive(Debug)]
+pub struct RunningServer {
+    address: SocketAddr,
+    connections: Arc<Connections>,
+    task: JoinHandle<()>,
+}
+
+impl RunningServer {
+    /// Serves `endpoint` on `listen`; port 0 lets the system choose.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the address cannot be bound.
+    pub async fn start<E>(
+        listen: SocketAddr,
+        connections: Arc<Connections>,
+        endpoint: E,
+    ) -> io::Result<Self>
+    where
+        E: IntoEndpoint,
+        E::Endpoint: 'static,
+    {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let acceptor = ControlledAcceptor::new(listener, address, connections.clone());
+        let endpoint = endpoint.into_endpoint();
+        let task = tokio::spawn(async move {
+            if let Err(error) = Server::new_with_acceptor(acceptor).run(endpoint).await {
+                log::error!("server on {address} ended: {error}");
+            }
+        });
+        Ok(Self { address, connections, task })
+    }
+
+    /// Returns the bound address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops listening and closes every connection at once.
+    pub async fn stop(&mut self) {
+        self.task.abort();
+        let _ = (&mut self.task).await;
+        self.connections.close_all();
+    }
+}
+
+impl Drop for RunningServer {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.connections.close_all();
+    }
+}
--- /dev/null
+++ b/ibiscroft-lab/tests/it/backend.rs
@@ -0,0 +1,134 @@
+//! The stand-in backend server over HTTP.
+
+use std::time::Duration;
+
+use ibiscroft_lab::backend::{
+    AnswerFaults, Backend, BackendOptions, Control, Pattern, RunningBackend,
+};
+use reqwest::{Client, RequestBuilder, StatusCode};
+
+fn get(backend: &RunningBackend, path: &str) -> RequestBuilder {
+    Client::new().get(format!("http://{}{path}", backend.address()))
+}
+
+fn faults(faults: &AnswerFaults) -> Control {
+    let once = AnswerFaults { count: 1, ..faults.clone() };
+    Control { answer_faults: Some(once), ..Control::default() }
+}
+
+async fn wait_until(mut condition: impl FnMut() -> bool) {
+    while !condition() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[tokio::test]
+async fn full_slots_and_queue_refuse_without_running() {
+    let options = BackendOptions { slots: 1, queue: 1, ..BackendOptions::default() };
+    let backend = Backend::start(options).await.unwrap();
+    let first = tokio::spawn(get(&backend, "/?work_ms=60000").send());
+    wait_until(|| backend.counters().running == 1).await;
+    let second = tokio::spawn(get(&backend, "/").send());
+    wait_until(|| backend.counters().waiting == 1).await;
+    let third = get(&backend, "/").header("x-request-id", "r3").send().await.unwrap();
+    assert_eq!(third.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(third.headers()["x-execution"], "not_run");
+    assert_eq!(third.headers()["x-request-id"], "r3");
+    first.abort();
+    assert_eq!(second.await.unwrap().unwrap().status(), StatusCode::OK);
+    wait_until(|| backend.counters().cancelled_running == 1).await;
+    let counters = backend.counters();
+    assert_eq!((counters.received, counters.ran, counters.shed), (3, 2, 1));
+}
+
+#[tokio::test]
+async fn a_deadline_drops_work_that_waits_or_runs() {
+    let options = BackendOptions { slots: 1, queue: 1, ..BackendOptions::default() };
+    let backend = Backend::start(options).await.unwrap();
+    let held = tokio::spawn(get(&backend, "/?work_ms=60000").send());
+    wait_until(|| backend.counters().running == 1).await;
+    let waited = get(&backend, "/").header("x-deadline-ms", "20").send().await.unwrap();
+    assert_eq!(waited.headers()["x-execution"], "not_run");
+    held.abort();
+    wait_until(|| backend.counters().running == 0).await;
+    let ran = get(&backend, "/?work_ms=60000").header("x-deadline-ms", "20").send().await.unwrap();
+    assert_eq!(ran.status(), StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(ran.headers()["x-execution"], "unknown");
+    let counters = backend.counters();
+    assert_eq!((counters.expired_waiting, counters.expired_running), (1, 1));
+}
+
+#[tokio::test]
+async fn a_key_that_ran_twice_is_doubled() {
+    let backend = Backend::start(BackendOptions::default()).await.unwrap();
+    for key in ["a", "b", "a"] {
+        get(&backend, "/").header("idempotency-key", key).send().await.unwrap();
+    }
+    let counters = backend.counters();
+    assert_eq!((counters.keys_ran, counters.doubled), (2, 1));
+    assert_eq!(counters.doubled_keys, ["a"]);
+    assert_eq!(backend.runs_of_key("a"), 2);
+}
+
+#[tokio::test]
+async fn injected_faults_show_in_the_answer() {
+    struct Case {
+        name: &'static str,
+        faults: AnswerFaults,
+        path: &'static str,
+        whole: bool,
+    }
+    let truncated = AnswerFaults { truncate_after: Some(70_000), ..AnswerFaults::default() };
+    let lost = AnswerFaults { lose_answer: true, ..AnswerFaults::default() };
+    let crossed = AnswerFaults { crossed: true, ..AnswerFaults::default() };
+    let crashed = AnswerFaults { crash_after: Some(70_000), ..AnswerFaults::default() };
+    let cases = [
+        Case { name: "none", faults: AnswerFaults::default(), path: "/a", whole: true },
+        Case { name: "truncated", faults: truncated.clone(), path: "/a", whole: false },
+        Case { name: "truncated chunks", faults: truncated, path: "/a?chunked=1", whole: false },
+        Case { name: "lost", faults: lost, path: "/a", whole: false },
+        Case { name: "crossed", faults: crossed, path: "/a", whole: false },
+        Case { name: "crashed", faults: crashed, path: "/a", whole: false },
+    ];
+    let backend = Backend::start(BackendOptions::default()).await.unwrap();
+    for case in cases {
+        backend.control(&faults(&case.faults));
+        let separator = if case.path.contains('?') { '&' } else { '?' };
+        let request = get(&backend, &format!("{}{separator}bytes=200000", case.path));
+        let whole = match request.header("x-request-id", "r").send().await {
+            Ok(response) if response.headers()["x-request-id"] == "r" => {
+                let body = response.bytes().await;
+                body.is_ok_and(|body| Pattern::new("/a", 200_000).slice(0, 200_000) == body)
+            }
+            _ => false,
+        };
+        assert_eq!(whole, case.whole, "{}", case.name);
+    }
+    assert_eq!(backend.counters().crashes, 1);
+}
+
+#[tokio::test]
+async fn silenced_connections_never_answer_while_new_ones_do() {
+    let backend = Backend::start(BackendOptions::default()).await.unwrap();
+    let client = Client::new();
+    let url = format!("http://{}/", backend.address());
+    client.get(&url).send().await.unwrap().bytes().await.unwrap();
+    backend.control(&Control { silence_connections: Some(true), ..Control::default() });
+    let silent = client.get(&url).timeout(Duration::from_millis(100)).send().await;
+    assert!(silent.is_err_and(|error| error.is_timeout()));
+    assert_eq!(get(&backend, "/").send().await.unwrap().status(), StatusCode::OK);
+    assert_eq!(backend.counters().received, 2);
+}
+
+#[tokio::test]
+async fn requests_after_the_announcement_are_counted() {
+    let backend = Backend::start(BackendOptions::default()).await.unwrap();
+    get(&backend, "/").send().await.unwrap();
+    backend.control(&Control { draining: Some(true), ..Control::default() });
+    let response = get(&backend, "/").send().await.unwrap();
+    assert_eq!(response.headers()["x-target-state"], "draining");
+    get(&backend, "/load").send().await.unwrap();
+    let counters = backend.counters();
+    assert_eq!(counters.received_while_draining, 1);
+    assert_eq!((counters.received, counters.load_polls), (2, 1));
+}
