feat(gateway): the daemon in its thin form

Cause: nothing served a request yet. Ruled out: a client of the key-value service in each program; gateway and ops share ibiscroft-platform. Change: callers' endpoint with a filter chain, forwarding with two random choices and up to four attempts, state controllers (registers, roster, peers, targets) on one thread, store watch, own lease, WebSocket mesh, operators' listener, graceful stop.

--- /dev/null
+++ b/ibiscroft-gateway/src/backend_client.rs
@@ -0,0 +1,170 @@
+//! Sends requests to backend servers and checks that answers belong to them.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::WrapErr;
+use futures_util::{Stream, StreamExt, stream};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use ibiscroft_wire::{ErrorKind, headers};
+use reqwest::{Client, Response};
+
+use crate::clock::Clock;
+use crate::exchange::{Answer, AnswerBody, Exchange};
+use crate::filters::identify::remove_hop_by_hop;
+use crate::snapshot::{InFlightGuard, TargetView};
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time without progress in the middle of an answer.
+const PROGRESS_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time that sent bytes stay unacknowledged before a connection is given up.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long an idle connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Idle connections kept to one target.
+const MAX_IDLE: usize = 10;
+
+/// Clients for backend servers: one reuses connections, one never does.
+#[derive(Clone, Debug)]
+pub(crate) struct BackendClient {
+    pooled: Client,
+    fresh: Client,
+}
+
+/// A backend server's answer, the end of its body still to come.
+#[derive(Debug)]
+pub(crate) struct Sent {
+    /// The answer.
+    pub(crate) answer: Answer,
+    /// Whether the target said that it drains.
+    pub(crate) draining: bool,
+}
+
+/// Why a request got no answer from a target.
+#[derive(Clone, Debug)]
+pub(crate) enum SendError {
+    /// No byte of the request was handed to a connection.
+    NotSent(String),
+    /// The target refused the request without running it.
+    Shed {
+        /// Whether the target said that it drains.
+        draining: bool,
+    },
+    /// The request may have run.
+    Unknown(ErrorKind, String),
+}
+
+impl BackendClient {
+    /// Makes the clients.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no client can be made.
+    pub(crate) fn new() -> eyre::Result<Self> {
+        Ok(Self { pooled: client(MAX_IDLE)?, fresh: client(0)? })
+    }
+
+    /// Sends the request to one target; the guard lives until the answer's body ends.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the request may have run.
+    pub(crate) async fn send(
+        &self,
+        ex: &Exchange,
+        view: &TargetView,
+        guard: InFlightGuard,
+        clock: Clock,
+    ) -> Result<Sent, SendError> {
+        let left = ex.deadline.since(clock.now());
+        let client = if ex.is_at_most_once() { &self.fresh } else { &self.pooled };
+        let url = format!("http://{}{}", view.target.address, ex.path_and_query);
+        let request = client
+            .request(ex.method.clone(), url)
+            .headers(request_headers(ex, left))
+            .body(ex.body.clone())
+            .build()
+            .map_err(|error| SendError::NotSent(error.to_string()))?;
+        match tokio::time::timeout(left, client.execute(request)).await {
+            Ok(Ok(res)) => check_answer(ex, res, guard),
+            Ok(Err(error)) if error.is_connect() => Err(SendError::NotSent(error.to_string())),
+            Ok(Err(error)) => Err(SendError::Unknown(ErrorKind::ConnectionLost, error.to_string())),
+            Err(_) => {
+                let detail = format!("no answer within {} ms", left.as_millis());
+                Err(SendError::Unknown(ErrorKind::AnswerTimeout, detail))
+            }
+        }
+    }
+}
+
+fn client(max_idle: usize) -> eyre::Result<Client> {
+    Client::builder()
+        .no_proxy()
+        .http1_only()
+        .redirect(reqwest::redirect::Policy::none())
+        .referer(false)
+        .retry(reqwest::retry::never())
+        .connect_timeout(CONNECT_TIMEOUT)
+        .read_timeout(PROGRESS_TIMEOUT)
+        .tcp_nodelay(true)
+        .tcp_keepalive(IDLE_TIMEOUT)
+        .tcp_user_timeout(UNACKNOWLEDGED_TIMEOUT)
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(max_idle)
+        .build()
+        .wrap_err("HTTP client for backend servers")
+}
+
+fn request_headers(ex: &Exchange, left: Duration) -> HeaderMap {
+    let mut headers = ex.headers.clone();
+    headers.remove(header::CONTENT_LENGTH);
+    headers.insert(headers::DEADLINE_MS, number(left.as_millis()));
+    headers.insert(headers::CALL_DEPTH, number(u128::from(ex.depth.get())));
+    if let Ok(value) = HeaderValue::from_str(ex.request_id.as_str()) {
+        headers.insert(headers::REQUEST_ID, value);
+    }
+    headers
+}
+
+fn number(value: u128) -> HeaderValue {
+    HeaderValue::from(u64::try_from(value).unwrap_or(u64::MAX))
+}
+
+fn check_answer(ex: &Exchange, res: Response, guard: InFlightGuard) -> Result<Sent, SendError> {
+    let status = res.status();
+    let mut headers = res.headers().clone();
+    let draining = text(&headers, headers::TARGET_STATE) == Some("draining");
+    let echoed = text(&headers, headers::REQUEST_ID);
+    if echoed.is_some_and(|found| found != ex.request_id.as_str()) {
+        let detail = "the answer carries another request's id";
+        return Err(SendError::Unknown(ErrorKind::AnswerMismatch, detail.to_string()));
+    }
+    let refused = text(&headers, headers::EXECUTION) == Some("not_run");
+    if status == StatusCode::SERVICE_UNAVAILABLE && refused {
+        return Err(SendError::Shed { draining });
+    }
+    remove_hop_by_hop(&mut headers);
+    let body = if res.content_length() == Some(0) || ex.method == Method::HEAD {
+        AnswerBody::Whole(Bytes::new())
+    } else {
+        AnswerBody::Stream(Box::pin(guarded(res.bytes_stream(), guard)))
+    };
+    Ok(Sent { answer: Answer { status, headers, body }, draining })
+}
+
+/// Passes on a body and holds the guard until it ends.
+fn guarded(
+    body: impl Stream<Item = reqwest::Result<Bytes>> + Send + Unpin + 'static,
+    guard: InFlightGuard,
+) -> impl Stream<Item = io::Result<Bytes>> + Send {
+    stream::unfold((body, guard), |(mut body, guard)| async move {
+        let piece = body.next().await?;
+        Some((piece.map_err(io::Error::other), (body, guard)))
+    })
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/ibiscroft-gateway/src/clock.rs
@@ -0,0 +1,23 @@
+//! The daemon's monotonic clock.
+
+use std::time::Instant;
+
+use ibiscroft_core::Tick;
+
+/// Converts between the system's monotonic clock and [`Tick`].
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Clock {
+    origin: Instant,
+}
+
+impl Clock {
+    /// Makes a clock whose origin is now.
+    pub(crate) fn start() -> Self {
+        Self { origin: Instant::now() }
+    }
+
+    /// Returns the present instant.
+    pub(crate) fn now(self) -> Tick {
+        Tick::ZERO + self.origin.elapsed()
+    }
+}
--- /dev/null
+++ b/ibiscroft-gateway/src/controllers/peers.rs
@@ -0,0 +1,130 @@
+//! Connections to the other gateways on the roster.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ibiscroft_core::ids::InstanceName;
+use ibiscroft_wire::codec;
+use ibiscroft_wire::generated::peer::PeerMessage;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+
+use crate::control::ControlEvent;
+use crate::events::event;
+use crate::peer_link::{self, Link};
+use crate::shared::Shared;
+
+/// Something that happened between gateways.
+#[derive(Debug)]
+pub(crate) enum PeerEvent {
+    /// A connection is up.
+    Up {
+        /// The other gateway.
+        instance: InstanceName,
+        /// Where to send messages for it.
+        link: Link,
+    },
+    /// A connection ended.
+    Down {
+        /// The other gateway.
+        instance: InstanceName,
+        /// Identifies the connection.
+        id: u64,
+    },
+    /// A message arrived.
+    Message {
+        /// The sender.
+        instance: InstanceName,
+        /// The message.
+        message: PeerMessage,
+    },
+}
+
+/// Links to all live gateways.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    shared: Arc<Shared>,
+    own_name: InstanceName,
+    events: mpsc::UnboundedSender<ControlEvent>,
+    links: HashMap<InstanceName, Link>,
+    dialers: HashMap<InstanceName, (SocketAddr, tokio::task::JoinHandle<()>)>,
+}
+
+impl Peers {
+    /// Makes an empty set of links.
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        own_name: InstanceName,
+        events: mpsc::UnboundedSender<ControlEvent>,
+    ) -> Self {
+        Self { shared, own_name, events, links: HashMap::new(), dialers: HashMap::new() }
+    }
+
+    /// Dials the instances that this one is to dial: those with a greater name.
+    pub(crate) fn set_roster(&mut self, members: BTreeMap<InstanceName, SocketAddr>) {
+        let own_name = &self.own_name;
+        self.dialers.retain(|name, (address, task)| {
+            let wanted = members.get(name) == Some(address);
+            if !wanted {
+                task.abort();
+            }
+            wanted
+        });
+        for (name, address) in members {
+            if name <= *own_name || self.dialers.contains_key(&name) {
+                continue;
+            }
+            let dial = peer_link::dial(
+                name.clone(),
+                address,
+                Arc::clone(&self.shared),
+                self.events.clone(),
+            );
+            self.dialers.insert(name, (address, tokio::task::spawn_local(dial)));
+        }
+    }
+
+    /// Notes that a connection is up.
+    pub(crate) fn on_up(&mut self, instance: InstanceName, link: Link) {
+        event!(PeerUp, "instance {instance}");
+        self.links.insert(instance, link);
+    }
+
+    /// Notes that a connection ended.
+    pub(crate) fn on_down(&mut self, instance: &InstanceName, id: u64) {
+        if self.links.get(instance).is_none_or(|link| link.id() != id) {
+            return;
+        }
+        event!(PeerDown, "instance {instance}");
+        self.links.remove(instance);
+    }
+
+    /// Sends a message to one gateway; drops it when there is no connection.
+    pub(crate) fn send(&mut self, to: &InstanceName, message: &PeerMessage) {
+        let Some(link) = self.links.get(to) else {
+            return;
+        };
+        if let Ok(frame) = codec::to_cbor(message) {
+            link.send(frame.into());
+        }
+    }
+
+    /// Sends a message to all connected gateways.
+    pub(crate) fn broadcast(&mut self, message: &PeerMessage) {
+        let Ok(frame) = codec::to_cbor(message) else {
+            return;
+        };
+        let frame = bytes::Bytes::from(frame);
+        for link in self.links.values() {
+            link.send(frame.clone());
+        }
+    }
+
+    /// Describes the links.
+    pub(crate) fn dump(&self) -> Value {
+        let mut names: Vec<&InstanceName> = self.links.keys().collect();
+        names.sort();
+        json!(names)
+    }
+}
--- /dev/null
+++ b/ibiscroft-gateway/src/controllers/roster.rs
@@ -0,0 +1,197 @@
+//! The roster of live instances and this instance's own lease.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ibiscroft_core::Tick;
+use ibiscroft_core::ids::{InstanceName, StoreVersion};
+use ibiscroft_platform::{Lease, StoreClient, StoreError};
+use ibiscroft_wire::generated::store::Entry;
+use ibiscroft_wire::keys;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+
+use crate::control::ControlEvent;
+use crate::events::event;
+use crate::settings::Settings;
+use crate::shared::Shared;
+
+/// Time to live of an instance's lease.
+pub(crate) const LEASE_TTL: Duration = Duration::from_secs(5);
+/// Interval between renewals.
+const RENEW_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Something that happened to the instance's own lease.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum LeaseEvent {
+    /// The lease was granted or renewed by a call sent at `sent`.
+    Held {
+        /// The lease.
+        lease: Lease,
+        /// When the call was sent.
+        sent: Tick,
+    },
+    /// The lease ended.
+    Lost,
+}
+
+/// Live instances as the store shows them, and the own lease.
+#[derive(Debug)]
+pub(crate) struct Roster {
+    store: StoreClient,
+    members: BTreeMap<InstanceName, Value>,
+    lease: Option<Lease>,
+    renewed: Tick,
+    renewal: tokio::task::JoinHandle<()>,
+}
+
+impl Roster {
+    /// Starts to hold a lease for this instance.
+    pub(crate) fn start(
+        settings: Rc<Settings>,
+        shared: Arc<Shared>,
+        store: StoreClient,
+        events: &mpsc::UnboundedSender<ControlEvent>,
+    ) -> Self {
+        let renewal = hold_lease(settings, shared, store.clone(), events.clone());
+        Self {
+            store,
+            members: BTreeMap::new(),
+            lease: None,
+            renewed: Tick::ZERO,
+            renewal: tokio::task::spawn_local(renewal),
+        }
+    }
+
+    /// Takes in a key of the store; returns whether it belongs to the roster.
+    pub(crate) fn on_entry(&mut self, entry: &Entry) -> bool {
+        let Some(name) = entry.key.strip_prefix(keys::ROSTER_PREFIX) else {
+            return false;
+        };
+        let name = InstanceName::new(name);
+        match &entry.value {
+            Some(text) => {
+                let value = serde_json::from_str(text).unwrap_or(Value::Null);
+                self.members.insert(name, value);
+            }
+            None => {
+                self.members.remove(&name);
+            }
+        }
+        true
+    }
+
+    /// Notes a change of the own lease.
+    pub(crate) fn on_lease(&mut self, lease: &LeaseEvent) {
+        match lease {
+            LeaseEvent::Held { lease, sent } => {
+                self.renewed = *sent;
+                if self.lease != Some(*lease) {
+                    event!(LeaseGranted, "lease {}", lease.0);
+                }
+                self.lease = Some(*lease);
+            }
+            LeaseEvent::Lost => {
+                event!(LeaseLost, "the instance asks for a new one");
+                self.lease = None;
+            }
+        }
+    }
+
+    /// Returns the peer address of each live instance.
+    pub(crate) fn members(&self) -> BTreeMap<InstanceName, SocketAddr> {
+        let mut members = BTreeMap::new();
+        for (name, value) in &self.members {
+            let address = value["peer"].as_str().and_then(|text| text.parse().ok());
+            if let Some(address) = address {
+                members.insert(name.clone(), address);
+            }
+        }
+        members
+    }
+
+    /// Ends the lease, so that other instances see this one leave at once.
+    pub(crate) async fn leave(&mut self) {
+        self.renewal.abort();
+        if let Some(lease) = self.lease.take() {
+            let _ = self.store.revoke_lease(lease).await;
+        }
+    }
+
+    /// Describes the roster.
+    pub(crate) fn dump(&self) -> Value {
+        json!({
+            "lease": self.lease.map(|lease| lease.0),
+            "renewed_at_us": self.renewed.as_micros(),
+            "members": self.members,
+        })
+    }
+}
+
+/// Gets a lease, registers the instance under it and renews it; starts over when it ends.
+async fn hold_lease(
+    settings: Rc<Settings>,
+    shared: Arc<Shared>,
+    store: StoreClient,
+    events: mpsc::UnboundedSender<ControlEvent>,
+) {
+    loop {
+        let sent = shared.clock.now();
+        shared.metrics.store_calls.with_label_values(&["lease"]).inc_by(2);
+        match register(&settings, &store).await {
+            Ok(lease) => {
+                let held = LeaseEvent::Held { lease, sent };
+                let _ = events.send(ControlEvent::Lease(held));
+                renew_until_lost(lease, &shared, &store, &events).await;
+                let _ = events.send(ControlEvent::Lease(LeaseEvent::Lost));
+            }
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+async fn register(settings: &Settings, store: &StoreClient) -> Result<Lease, StoreError> {
+    let lease = store.grant_lease(LEASE_TTL).await?;
+    let key = format!("{}{}", keys::ROSTER_PREFIX, settings.instance);
+    let value = json!({
+        "instance": settings.instance,
+        "availability_zone": settings.zone,
+        "peer": settings.peer_listen,
+        "operator": settings.operator_listen,
+    })
+    .to_string();
+    let mut expected = StoreVersion(0);
+    loop {
+        match store.write(&key, value.clone(), expected, Some(lease)).await {
+            Ok(_) => return Ok(lease),
+            Err(StoreError::Conflict(found)) => expected = found,
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+async fn renew_until_lost(
+    lease: Lease,
+    shared: &Shared,
+    store: &StoreClient,
+    events: &mpsc::UnboundedSender<ControlEvent>,
+) {
+    loop {
+        tokio::time::sleep(RENEW_INTERVAL).await;
+        let sent = shared.clock.now();
+        shared.metrics.store_calls.with_label_values(&["renew"]).inc();
+        match store.renew_lease(lease).await {
+            Ok(()) => {
+                let held = LeaseEvent::Held { lease, sent };
+                let _ = events.send(ControlEvent::Lease(held));
+            }
+            Err(StoreError::NotFound) => return,
+            Err(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -0,0 +1,156 @@
+//! Starts the threads of a gateway and stops them gracefully.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use eyre::WrapErr;
+use ibiscroft_core::ids::RunId;
+use ibiscroft_platform::StoreClient;
+use poem::Server;
+use poem::listener::TcpAcceptor;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::LocalSet;
+
+use crate::backend_client::BackendClient;
+use crate::clock::Clock;
+use crate::control::{Control, ControlCommand, ControlInputs};
+use crate::events::event;
+use crate::filters::Chain;
+use crate::filters::account::Account;
+use crate::filters::forward::Forward;
+use crate::metrics::Metrics;
+use crate::operator_server::OperatorEndpoint;
+use crate::peer_link;
+use crate::server::CallerEndpoint;
+use crate::settings::Settings;
+use crate::shared::Shared;
+use crate::snapshot::Snapshot;
+use crate::store_watch;
+
+/// Longest time of one call to the key-value service.
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Observations that may wait for the control thread.
+const OBSERVATION_QUEUE: usize = 4_096;
+/// Commands that may wait for the control thread.
+const COMMAND_QUEUE: usize = 64;
+
+/// Runs a gateway until a planned stop ends.
+///
+/// # Errors
+///
+/// Returns why the gateway could not start.
+pub fn run(settings: Settings) -> eyre::Result<()> {
+    let traffic = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .wrap_err("runtime for traffic")?;
+    let control = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("runtime for control")?;
+    LocalSet::new().block_on(&control, run_control(settings, traffic.handle().clone()))
+}
+
+async fn run_control(mut settings: Settings, traffic: tokio::runtime::Handle) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("signal handler")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("signal handler")?;
+    let caller_listener = bind(&mut settings.caller_listen).await?;
+    let operator_listener = bind(&mut settings.operator_listen).await?;
+    let peer_listener = bind(&mut settings.peer_listen).await?;
+    let settings = Rc::new(settings);
+    let store = StoreClient::new(settings.store.clone(), STORE_TIMEOUT)?;
+
+    let (observation_tx, observations) = mpsc::channel(OBSERVATION_QUEUE);
+    let (command_tx, commands) = mpsc::channel(COMMAND_QUEUE);
+    let (event_tx, events) = mpsc::unbounded_channel();
+    let shared = Arc::new(Shared {
+        instance: settings.instance.clone(),
+        run: RunId::new(format!("{:08x}", rand::random::<u32>())),
+        clock: Clock::start(),
+        snapshot: ArcSwap::from_pointee(Snapshot::empty()),
+        metrics: Metrics::new()?,
+        observations: observation_tx,
+    });
+    let closing = Arc::new(AtomicBool::new(false));
+
+    let control =
+        Control::new(Arc::clone(&shared), Rc::clone(&settings), store.clone(), event_tx.clone());
+    tokio::task::spawn_local(control.run(ControlInputs { events, observations, commands }));
+    tokio::task::spawn_local(store_watch::watch(store, Arc::clone(&shared), event_tx.clone()));
+    tokio::task::spawn_local(peer_link::listen(peer_listener, Arc::clone(&shared), event_tx));
+    let operators =
+        OperatorEndpoint::new(Arc::clone(&shared), command_tx.clone(), Arc::clone(&closing));
+    tokio::spawn(
+        Server::new_with_acceptor(TcpAcceptor::from_tokio(operator_listener)?).run(operators),
+    );
+
+    let forward = Forward::new(Arc::clone(&shared), BackendClient::new()?);
+    let chain = Chain::new(Account::new(Arc::clone(&shared)), forward);
+    let callers = CallerEndpoint::new(Arc::clone(&shared), chain, Arc::clone(&closing));
+    let (stop_tx, stop_rx) = oneshot::channel::<()>();
+    let server = Server::new_with_acceptor(TcpAcceptor::from_std(caller_listener.into_std()?)?)
+        .run_with_graceful_shutdown(callers, async { drop(stop_rx.await) }, settings.drain_limit);
+    let serving = traffic.spawn(server);
+    announce(&settings);
+
+    wait_for_signal(&mut terminate, &mut interrupt).await;
+    event!(StopRequested, "callers are told to go elsewhere");
+    tokio::task::spawn_local(ignore_further_signals(terminate, interrupt));
+    closing.store(true, Ordering::Relaxed);
+    tokio::time::sleep(settings.drain_notice).await;
+    let (left_tx, left_rx) = oneshot::channel();
+    if command_tx.send(ControlCommand::Leave(left_tx)).await.is_ok() {
+        let _ = left_rx.await;
+    }
+    let _ = stop_tx.send(());
+    serving.await.wrap_err("traffic")?.wrap_err("server for callers")?;
+    let in_flight = shared.metrics.in_flight.get();
+    if in_flight > 0 {
+        event!(StopLimitReached, "{in_flight} requests in flight");
+    }
+    event!(Stopped, "all requests ended");
+    Ok(())
+}
+
+/// Binds a listener and notes the port that the system chose.
+async fn bind(address: &mut std::net::SocketAddr) -> eyre::Result<TcpListener> {
+    let listener =
+        TcpListener::bind(*address).await.wrap_err_with(|| format!("listen on {address}"))?;
+    *address = listener.local_addr()?;
+    Ok(listener)
+}
+
+/// Prints the addresses in use as one line of JSON, for whoever started the process.
+fn announce(settings: &Settings) {
+    println!(
+        "{}",
+        serde_json::json!({
+            "instance": settings.instance,
+            "callers": settings.caller_listen,
+            "operators": settings.operator_listen,
+            "peers": settings.peer_listen,
+        })
+    );
+    event!(Started, "callers on {}", settings.caller_listen);
+}
+
+async fn wait_for_signal(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+async fn ignore_further_signals(mut terminate: Signal, mut interrupt: Signal) {
+    loop {
+        wait_for_signal(&mut terminate, &mut interrupt).await;
+        event!(StopRepeated, "requests in flight go on");
+    }
+}
--- /dev/null
+++ b/ibiscroft-gateway/src/filters.rs
@@ -0,0 +1,41 @@
+//! The filter chain that each request passes.
+
+pub(crate) mod account;
+pub(crate) mod forward;
+pub(crate) mod identify;
+
+use std::future::Future;
+
+use crate::exchange::{Exchange, Reply};
+
+/// Serves a request; the rest of a chain as a filter sees it.
+pub(crate) trait Handler: Send + Sync {
+    /// Serves `ex`.
+    fn handle(&self, ex: &mut Exchange) -> impl Future<Output = Reply> + Send;
+}
+
+/// One step of the chain: refuses, passes on, or works on the reply.
+pub(crate) trait Filter: Send + Sync {
+    /// Applies the step to `ex`; `next` is the rest of the chain.
+    fn apply<H: Handler>(&self, ex: &mut Exchange, next: &H) -> impl Future<Output = Reply> + Send;
+}
+
+/// A filter in front of the rest of the chain.
+#[derive(Debug)]
+pub(crate) struct Chain<F, H> {
+    filter: F,
+    next: H,
+}
+
+impl<F: Filter, H: Handler> Chain<F, H> {
+    /// Puts `filter` in front of `next`.
+    pub(crate) fn new(filter: F, next: H) -> Self {
+        Self { filter, next }
+    }
+}
+
+impl<F: Filter, H: Handler> Handler for Chain<F, H> {
+    async fn handle(&self, ex: &mut Exchange) -> Reply {
+        self.filter.apply(ex, &self.next).await
+    }
+}
--- /dev/null
+++ b/ibiscroft-gateway/src/filters/identify.rs
@@ -0,0 +1,233 @@
+//! Reads a caller's request: service, deadline, depth, request id, key and body.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http::header::{self, HeaderMap, HeaderName};
+use http::{Method, Uri};
+use ibiscroft_core::Tick;
+use ibiscroft_core::ids::{Depth, IdempotencyKey, RequestId};
+use ibiscroft_wire::{ErrorKind, headers};
+use poem::Request;
+
+use crate::exchange::{Exchange, Failure};
+use crate::snapshot::{ServiceView, Snapshot};
+
+/// Largest request body, in bytes.
+pub(crate) const MAX_BODY_BYTES: usize = 1 << 20;
+/// Largest sum of header names and values, in bytes.
+const MAX_HEADER_BYTES: usize = 32 << 10;
+/// Longest time for a request body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Calls on a path at the most.
+const MAX_DEPTH: u8 = 7;
+/// Longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 200;
+/// Longest request id taken from a caller, in bytes.
+const MAX_REQUEST_ID_BYTES: usize = 64;
+
+/// Header fields that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Reads the whole request and finds the service that serves it.
+///
+/// # Errors
+///
+/// Returns why the request is refused; nothing of it was sent on.
+pub(crate) async fn identify(
+    mut req: Request,
+    request_id: RequestId,
+    snapshot: &Snapshot,
+    received: Tick,
+) -> Result<Exchange, Failure> {
+    let method = forwarded_method(req.method())?;
+    check_header_size(req.headers())?;
+    let path = req.uri().path().to_string();
+    let host = host(req.uri(), req.headers()).to_string();
+    let service = find_service(snapshot, &host, &path)?;
+    let depth = depth(req.headers())?;
+    let key = idempotency_key(req.headers(), service.service.is_at_most_once(method.as_str()))?;
+    let deadline = received + wait(req.headers(), &service)?;
+    let path_and_query =
+        req.uri().path_and_query().map_or(path, |found| found.as_str().to_string());
+    let body = read_body(&mut req).await?;
+    let mut headers = std::mem::take(req.headers_mut());
+    remove_hop_by_hop(&mut headers);
+    Ok(Exchange {
+        request_id,
+        received,
+        deadline,
+        depth,
+        method,
+        path_and_query,
+        headers,
+        body,
+        key,
+        service,
+        upstream_time: Duration::ZERO,
+        sent_to: None,
+    })
+}
+
+/// Returns the caller's request id, or `fresh` when it has none that is usable.
+pub(crate) fn request_id(headers: &HeaderMap, fresh: impl FnOnce() -> String) -> RequestId {
+    let given = headers
+        .get(headers::REQUEST_ID)
+        .and_then(|value| value.to_str().ok())
+        .filter(|text| !text.is_empty() && text.len() <= MAX_REQUEST_ID_BYTES);
+    RequestId::new(given.map_or_else(fresh, ToString::to_string))
+}
+
+/// Removes header fields that concern one connection only, those named by `Connection` included.
+pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+fn forwarded_method(method: &Method) -> Result<Method, Failure> {
+    match *method {
+        Method::GET
+        | Method::HEAD
+        | Method::POST
+        | Method::PUT
+        | Method::PATCH
+        | Method::DELETE
+        | Method::OPTIONS => Ok(method.clone()),
+        _ => Err(Failure::new(ErrorKind::MethodNotForwarded, format!("method {method}"))),
+    }
+}
+
+fn check_header_size(headers: &HeaderMap) -> Result<(), Failure> {
+    let size: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    if size <= MAX_HEADER_BYTES {
+        return Ok(());
+    }
+    let detail = format!("{size} bytes of header fields; at most {MAX_HEADER_BYTES} are allowed");
+    Err(Failure::new(ErrorKind::HeadersTooLarge, detail))
+}
+
+fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> &'a str {
+    let named = headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    let host = uri.host().or(named).unwrap_or("");
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
+fn find_service(snapshot: &Snapshot, host: &str, path: &str) -> Result<Arc<ServiceView>, Failure> {
+    if snapshot.generation.get() == 0 {
+        let detail = "no configuration is in force yet";
+        return Err(Failure::new(ErrorKind::NotReady, detail).retry_after(Duration::from_secs(1)));
+    }
+    let Some(service) = snapshot.route(host, path) else {
+        return Err(Failure::new(ErrorKind::NoRoute, format!("host {host:?}, path {path:?}")));
+    };
+    Ok(Arc::clone(service))
+}
+
+fn depth(headers: &HeaderMap) -> Result<Depth, Failure> {
+    let before = match headers.get(headers::CALL_DEPTH) {
+        None => 0,
+        Some(value) => value
+            .to_str()
+            .ok()
+            .and_then(|text| text.parse::<u8>().ok())
+            .ok_or_else(|| bad_header(headers::CALL_DEPTH, "a number from 0 to 255"))?,
+    };
+    if before >= MAX_DEPTH {
+        let detail = format!("{before} calls before this one; at most {MAX_DEPTH} in all");
+        return Err(Failure::new(ErrorKind::DepthExceeded, detail));
+    }
+    Ok(Depth(before + 1))
+}
+
+fn idempotency_key(headers: &HeaderMap, required: bool) -> Result<Option<IdempotencyKey>, Failure> {
+    if !required {
+        return Ok(None);
+    }
+    let key = headers.get(headers::IDEMPOTENCY_KEY).and_then(|value| value.to_str().ok());
+    let key = key.map(str::trim).filter(|text| !text.is_empty());
+    let Some(key) = key else {
+        let detail = "this request must run at most once and needs an Idempotency-Key";
+        return Err(Failure::new(ErrorKind::IdempotencyKeyMissing, detail));
+    };
+    if key.len() > MAX_KEY_BYTES {
+        let detail = format!("the key has {} bytes; at most {MAX_KEY_BYTES}", key.len());
+        return Err(Failure::new(ErrorKind::IdempotencyKeyMissing, detail));
+    }
+    Ok(Some(IdempotencyKey::new(key)))
+}
+
+fn wait(headers: &HeaderMap, service: &ServiceView) -> Result<Duration, Failure> {
+    let longest = service.service.default_deadline;
+    let Some(value) = headers.get(headers::DEADLINE_MS) else {
+        return Ok(longest);
+    };
+    let asked = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+    let asked =
+        asked.ok_or_else(|| bad_header(headers::DEADLINE_MS, "a whole number of milliseconds"))?;
+    if asked == 0 {
+        return Err(Failure::new(ErrorKind::DeadlinePassed, "no time is left"));
+    }
+    Ok(Duration::from_millis(asked).min(longest))
+}
+
+fn bad_header(name: &str, allowed: &str) -> Failure {
+    Failure::new(ErrorKind::BadRequest, format!("header {name} must be {allowed}"))
+}
+
+async fn read_body(req: &mut Request) -> Result<Bytes, Failure> {
+    let announced = req.headers().get(header::CONTENT_LENGTH);
+    let announced = announced.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    if announced.is_some_and(|size| size > MAX_BODY_BYTES) {
+        return Err(body_too_large());
+    }
+    let stream = req.take_body().into_bytes_stream();
+    let read = collect_body(stream, announced.unwrap_or(0));
+    match tokio::time::timeout(BODY_TIMEOUT, read).await {
+        Ok(body) => body,
+        Err(_) => {
+            let detail = format!("the body took over {} s", BODY_TIMEOUT.as_secs());
+            Err(Failure::new(ErrorKind::SlowCaller, detail))
+        }
+    }
+}
+
+async fn collect_body(
+    mut stream: impl futures_util::Stream<Item = std::io::Result<Bytes>> + Unpin,
+    capacity: usize,
+) -> Result<Bytes, Failure> {
+    let mut buf = Vec::with_capacity(capacity);
+    while let Some(piece) = stream.next().await {
+        let piece =
+            piece.map_err(|error| Failure::new(ErrorKind::BadRequest, format!("body: {error}")))?;
+        if buf.len() + piece.len() > MAX_BODY_BYTES {
+            return Err(body_too_large());
+        }
+        buf.extend_from_slice(&piece);
+    }
+    Ok(buf.into())
+}
+
+fn body_too_large() -> Failure {
+    let detail = format!("at most {MAX_BODY_BYTES} bytes are accepted");
+    Failure::new(ErrorKind::BodyTooLarge, detail)
+}
--- a/ibiscroft-gateway/src/lib.rs
+++ b/ibiscroft-gateway/src/lib.rs
@@ -1,1 +1,24 @@
-//! Skeleton.
+//! The daemon on each entry instance, between callers and backend servers.
+
+mod backend_client;
+mod clock;
+mod control;
+mod controllers;
+mod daemon;
+mod exchange;
+mod filters;
+mod metrics;
+mod observation;
+mod operator_server;
+mod peer_link;
+mod problem;
+mod server;
+mod shared;
+mod snapshot;
+mod store_watch;
+
+pub mod events;
+pub mod settings;
+
+pub use daemon::run;
+pub use settings::Settings;
--- /dev/null
+++ b/ibiscroft-gateway/src/metrics.rs
@@ -0,0 +1,150 @@
+//! Metrics of the process; docs/METRICS.md describes them.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the added-time buckets, in seconds.
+const ADDED_SECONDS: [f64; 14] = [
+    0.000_02, 0.000_05, 0.000_1, 0.000_15, 0.000_2, 0.000_25, 0.000_31, 0.000_4, 0.000_5, 0.001,
+    0.002, 0.005, 0.01, 0.1,
+];
+
+/// All metrics of one gateway.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests answered by a backend server, by status class.
+    pub(crate) answers: IntCounterVec,
+    /// Requests refused or failed, by error kind.
+    pub(crate) failures: IntCounterVec,
+    /// Time the gateway added to answered requests.
+    pub(crate) added: Histogram,
+    /// Requests in flight.
+    pub(crate) in_flight: IntGauge,
+    /// Observations dropped because control was behind.
+    pub(crate) observations_dropped: IntCounter,
+    /// Generation of the configuration in force.
+    pub(crate) configuration_generation: IntGauge,
+    /// Generation of the zone state in force.
+    pub(crate) zones_generation: IntGauge,
+    /// Calls to the key-value service, by kind.
+    pub(crate) store_calls: IntCounterVec,
+    /// Bytes sent to other gateways.
+    pub(crate) peer_sent_bytes: IntCounter,
+    /// Bytes received from other gateways.
+    pub(crate) peer_received_bytes: IntCounter,
+}
+
+impl Metrics {
+    /// Makes and registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error when a metric is malformed or registered twice.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let added = HistogramOpts::new(
+            "ibiscroft_added_seconds",
+            "Time the gateway added to answered requests, in seconds",
+        );
+        let metrics = Self {
+            answers: counter_vec(&registry, "answers_total", "Requests answered", "class")?,
+            failures: counter_vec(&registry, "failures_total", "Requests not answered", "kind")?,
+            added: Histogram::with_opts(added.buckets(ADDED_SECONDS.to_vec()))?,
+            in_flight: gauge(&registry, "requests_in_flight", "Requests in flight")?,
+            observations_dropped: counter(
+                &registry,
+                "observations_dropped_total",
+                "Observations dropped because control was behind",
+            )?,
+            configuration_generation: gauge(
+                &registry,
+                "configuration_generation",
+                "Generation of the configuration in force",
+            )?,
+            zones_generation: gauge(
+                &registry,
+                "zones_generation",
+                "Generation of the zone state in force",
+            )?,
+            store_calls: counter_vec(
+                &registry,
+                "store_calls_total",
+                "Calls to the key-value service",
+                "call",
+            )?,
+            peer_sent_bytes: counter(
+                &registry,
+                "peer_sent_bytes_total",
+                "Bytes sent to other gateways",
+            )?,
+            peer_received_bytes: counter(
+                &registry,
+                "peer_received_bytes_total",
+                "Bytes received from other gateways",
+            )?,
+            registry,
+        };
+        metrics.registry.register(Box::new(metrics.added.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Records the time added to one answered request.
+    pub(crate) fn observe_added(&self, added: Duration) {
+        self.added.observe(added.as_secs_f64());
+    }
+
+    /// Returns all metrics as text.
+    pub(crate) fn render(&self) -> String {
+        let mut buf = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            Ok(()) => String::from_utf8_lossy(&buf).into_owned(),
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+}
+
+/// Counts one request in flight while it lives, also when its caller goes away.
+#[derive(Debug)]
+pub(crate) struct InFlight(IntGauge);
+
+impl InFlight {
+    /// Counts a request until the guard is dropped.
+    pub(crate) fn begin(metrics: &Metrics) -> Self {
+        metrics.in_flight.inc();
+        Self(metrics.in_flight.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+    let metric = IntCounter::new(format!("ibiscroft_{name}"), help)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn counter_vec(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+) -> Result<IntCounterVec, prometheus::Error> {
+    let metric = IntCounterVec::new(Opts::new(format!("ibiscroft_{name}"), help), &[label])?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+    let metric = IntGauge::new(format!("ibiscroft_{name}"), help)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
--- /dev/null
+++ b/ibiscroft-gateway/src/problem.rs
@@ -0,0 +1,50 @@
+//! Turns replies into HTTP responses for callers.
+
+use http::{HeaderValue, StatusCode, header};
+use ibiscroft_core::ids::RequestId;
+use ibiscroft_wire::generated::problem::Problem;
+use ibiscroft_wire::{codec, headers};
+use poem::{Body, Response};
+
+use crate::exchange::{Answer, AnswerBody, Failure};
+
+/// Media type of problem answers.
+const PROBLEM_JSON: HeaderValue = HeaderValue::from_static("application/problem+json");
+
+/// Returns the response for an answer of a backend server.
+pub(crate) fn answer_response(answer: Answer) -> Response {
+    let body = match answer.body {
+        AnswerBody::Whole(bytes) => Body::from_bytes(bytes),
+        AnswerBody::Stream(stream) => Body::from_bytes_stream(stream),
+    };
+    let mut res = Response::default();
+    res.set_status(answer.status);
+    *res.headers_mut() = answer.headers;
+    res.set_body(body);
+    res
+}
+
+/// Returns the problem response for a failure.
+pub(crate) fn failure_response(failure: &Failure, request_id: &RequestId) -> Response {
+    let problem =
+        failure.kind.problem(failure.detail.clone(), request_id.as_str(), failure.retry_after);
+    let status = StatusCode::from_u16(problem.status);
+    let mut res = Response::default();
+    res.set_status(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+    set_headers(res.headers_mut(), &problem);
+    res.set_body(Body::from_string(codec::to_json(&problem).unwrap_or_default()));
+    res
+}
+
+fn set_headers(fields: &mut http::HeaderMap, problem: &Problem) {
+    fields.insert(header::CONTENT_TYPE, PROBLEM_JSON);
+    if let Ok(value) = HeaderValue::from_str(&problem.execution.to_string()) {
+        fields.insert(headers::EXECUTION, value);
+    }
+    if let Ok(value) = HeaderValue::from_str(&problem.request_id) {
+        fields.insert(headers::REQUEST_ID, value);
+    }
+    if let Some(millis) = problem.retry_after_ms {
+        fields.insert(header::RETRY_AFTER, HeaderValue::from(millis.div_ceil(1_000).max(1)));
+    }
+}
--- /dev/null
+++ b/ibiscroft-gateway/src/server.rs
@@ -0,0 +1,72 @@
+//! The endpoint for callers.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use http::{HeaderValue, header};
+use ibiscroft_core::Tick;
+use ibiscroft_core::ids::RequestId;
+use poem::{Endpoint, Request, Response};
+
+use crate::exchange::{Exchange, Failure};
+use crate::filters::Handler;
+use crate::filters::identify::{identify, request_id};
+use crate::problem::{answer_response, failure_response};
+use crate::shared::Shared;
+
+/// Serves callers' requests through a filter chain.
+#[derive(Debug)]
+pub(crate) struct CallerEndpoint<H> {
+    shared: Arc<Shared>,
+    chain: H,
+    closing: Arc<AtomicBool>,
+    next_request: AtomicU64,
+}
+
+impl<H: Handler> CallerEndpoint<H> {
+    /// Makes the endpoint; once `closing` is set, each answer closes its connection.
+    pub(crate) fn new(shared: Arc<Shared>, chain: H, closing: Arc<AtomicBool>) -> Self {
+        Self { shared, chain, closing, next_request: AtomicU64::new(0) }
+    }
+
+    async fn serve(&self, req: Request, id: RequestId, received: Tick) -> Response {
+        let view = self.shared.view();
+        match identify(req, id.clone(), &view, received).await {
+            Ok(mut ex) => self.serve_exchange(&mut ex).await,
+            Err(failure) => self.fail(&failure, &id),
+        }
+    }
+
+    async fn serve_exchange(&self, ex: &mut Exchange) -> Response {
+        match self.chain.handle(ex).await {
+            Ok(answer) => answer_response(answer),
+            Err(failure) => self.fail(&failure, &ex.request_id),
+        }
+    }
+
+    fn fail(&self, failure: &Failure, id: &RequestId) -> Response {
+        let kind = failure.kind.to_string();
+        self.shared.metrics.failures.with_label_values(&[kind.as_str()]).inc();
+        failure_response(failure, id)
+    }
+
+    /// Returns an id that is unique in the fleet.
+    fn fresh_request_id(&self) -> String {
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{number:x}", self.shared.run)
+    }
+}
+
+impl<H: Handler> Endpoint for CallerEndpoint<H> {
+    type Output = Response;
+
+    async fn call(&self, req: Request) -> poem::Result<Response> {
+        let received = self.shared.clock.now();
+        let id = request_id(req.headers(), || self.fresh_request_id());
+        let mut res = self.serve(req, id, received).await;
+        if self.closing.load(Ordering::Relaxed) {
+            res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        Ok(res)
+    }
+}
--- /dev/null
+++ b/ibiscroft-platform/src/lib.rs
@@ -0,0 +1,7 @@
+//! Client of the platform's key-value service and instance list.
+
+mod error;
+mod store_client;
+
+pub use error::StoreError;
+pub use store_client::{Lease, StoreClient};
--- /dev/null
+++ b/ibiscroft-platform/src/store_client.rs
@@ -0,0 +1,229 @@
+//! Client of the platform's key-value service.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use ibiscroft_core::copy_data;
+use ibiscroft_core::ids::StoreVersion;
+use ibiscroft_wire::generated::store::{
+    Entry, EntryList, InstanceList, LeaseAnswer, LeaseRequest, PutAnswer, PutRequest, WatchAnswer,
+};
+use reqwest::{Client, RequestBuilder, Response, StatusCode};
+use serde::de::DeserializeOwned;
+
+use crate::StoreError;
+
+/// Longest time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+copy_data! {
+    /// Identifies a lease of the key-value service.
+    pub struct Lease(pub u64);
+}
+
+/// Calls the key-value service; tries its addresses in turn.
+///
+/// Clones share connections and the address that answered last.
+#[derive(Clone, Debug)]
+pub struct StoreClient {
+    client: Client,
+    addresses: Arc<[SocketAddr]>,
+    preferred: Arc<AtomicUsize>,
+    timeout: Duration,
+}
+
+impl StoreClient {
+    /// Makes a client for `addresses`; a call ends after `timeout` at the latest.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Refused`] when there is no address or no client can be made.
+    pub fn new(addresses: Vec<SocketAddr>, timeout: Duration) -> Result<Self, StoreError> {
+        if addresses.is_empty() {
+            return Err(StoreError::Refused("no address of the store is known".to_string()));
+        }
+        let client = Client::builder()
+            .no_proxy()
+            .http1_only()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .retry(reqwest::retry::never())
+            .build()
+            .map_err(|error| StoreError::Refused(error.to_string()))?;
+        Ok(Self {
+            client,
+            addresses: addresses.into(),
+            preferred: Arc::new(AtomicUsize::new(0)),
+            timeout,
+        })
+    }
+
+    /// Reads a key; `None` when it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call did not succeed.
+    pub async fn read(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        let call =
+            |address| self.client.get(format!("http://{address}/v1/kv")).query(&[("key", key)]);
+        let res = self.call(call, self.timeout).await?;
+        if res.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        decode(res).await.map(Some)
+    }
+
+    /// Writes a key when its version is `expected`; returns the new version.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Conflict`] names the version found. After [`StoreError::NoAnswer`] the
+    /// write may have taken effect; read the key to find out.
+    pub async fn write(
+        &self,
+        key: &str,
+        value: String,
+        expected: StoreVersion,
+        lease: Option<Lease>,
+    ) -> Result<StoreVersion, StoreError> {
+        let body = PutRequest {
+            value,
+            expected_version: expected.get(),
+            lease: lease.map(|lease| lease.0),
+        };
+        let call = |address| {
+            let url = format!("http://{address}/v1/kv");
+            self.client.put(url).query(&[("key", key)]).json(&body)
+        };
+        let res = self.call(call, self.timeout).await?;
+        match res.status() {
+            StatusCode::NOT_FOUND => Err(StoreError::NotFound),
+            StatusCode::CONFLICT => {
+                let answer: PutAnswer = decode_body(res).await?;
+                Err(StoreError::Conflict(StoreVersion(answer.version)))
+            }
+            _ => decode::<PutAnswer>(res).await.map(|answer| StoreVersion(answer.version)),
+        }
+    }
+
+    /// Lists the keys under a prefix.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call did not succeed.
+    pub async fn list(&self, prefix: &str) -> Result<EntryList, StoreError> {
+        let call = |address| {
+            self.client.get(format!("http://{address}/v1/list")).query(&[("prefix", prefix)])
+        };
+        decode(self.call(call, self.timeout).await?).await
+    }
+
+    /// Waits up to `wait` for changes after revision `after` of keys under a prefix.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call did not succeed.
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<WatchAnswer, StoreError> {
+        let wait_ms = wait.as_millis().to_string();
+        let after = after.to_string();
+        let query = [("prefix", prefix), ("after", &after), ("wait_ms", &wait_ms)];
+        let call = |address| self.client.get(format!("http://{address}/v1/watch")).query(&query);
+        decode(self.call(call, wait + self.timeout).await?).await
+    }
+
+    /// Asks for a lease that ends `ttl` after its last renewal.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call did not succeed.
+    pub async fn grant_lease(&self, ttl: Duration) -> Result<Lease, StoreError> {
+        let body = LeaseRequest { ttl_ms: u32::try_from(ttl.as_millis()).unwrap_or(u32::MAX) };
+        let call = |address| self.client.post(format!("http://{address}/v1/leases")).json(&body);
+        let answer: LeaseAnswer = decode(self.call(call, self.timeout).await?).await?;
+        Ok(Lease(answer.lease))
+    }
+
+    /// Renews a lease.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::NotFound`] says that the lease ended.
+    pub async fn renew_lease(&self, lease: Lease) -> Result<(), StoreError> {
+        self.lease_call("renew", lease).await
+    }
+
+    /// Ends a lease; its keys are deleted.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call did not succeed.
+    pub async fn revoke_lease(&self, lease: Lease) -> Result<(), StoreError> {
+        self.lease_call("revoke", lease).await
+    }
+
+    /// Reads the platform's list of instances, which lags.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call did not succeed.
+    pub async fn instances(&self) -> Result<InstanceList, StoreError> {
+        let call = |address| self.client.get(format!("http://{address}/v1/instances"));
+        decode(self.call(call, self.timeout).await?).await
+    }
+
+    async fn lease_call(&self, verb: &str, lease: Lease) -> Result<(), StoreError> {
+        let call = |address| {
+            let url = format!("http://{address}/v1/leases/{verb}");
+            self.client.post(url).query(&[("lease", lease.0)])
+        };
+        let res = self.call(call, self.timeout).await?;
+        match res.status() {
+            status if status.is_success() => Ok(()),
+            StatusCode::NOT_FOUND => Err(StoreError::NotFound),
+            status => Err(StoreError::Refused(status.to_string())),
+        }
+    }
+
+    /// Sends a call to the first address that accepts a connection.
+    async fn call(
+        &self,
+        build: impl Fn(SocketAddr) -> RequestBuilder,
+        timeout: Duration,
+    ) -> Result<Response, StoreError> {
+        let first = self.preferred.load(Ordering::Relaxed);
+        let mut unreachable = String::new();
+        for offset in 0..self.addresses.len() {
+            let index = (first + offset) % self.addresses.len();
+            let sent = build(self.addresses[index]).timeout(timeout).send().await;
+            match sent {
+                Ok(res) if res.status().is_server_error() => {
+                    return Err(StoreError::NoAnswer(res.status().to_string()));
+                }
+                Ok(res) => {
+                    self.preferred.store(index, Ordering::Relaxed);
+                    return Ok(res);
+                }
+                Err(error) if error.is_connect() => unreachable = error.to_string(),
+                Err(error) => return Err(StoreError::NoAnswer(error.to_string())),
+            }
+        }
+        Err(StoreError::Unreachable(unreachable))
+    }
+}
+
+async fn decode<T: DeserializeOwned>(res: Response) -> Result<T, StoreError> {
+    if !res.status().is_success() {
+        return Err(StoreError::Refused(res.status().to_string()));
+    }
+    decode_body(res).await
+}
+
+async fn decode_body<T: DeserializeOwned>(res: Response) -> Result<T, StoreError> {
+    res.json().await.map_err(|error| StoreError::NoAnswer(error.to_string()))
+}
