--- a/ibiscroft-core/src/admission.rs
+++ b/ibiscroft-core/src/admission.rs
@@ -1,1 +1,82 @@
 //! Bounded waiting and early refusal under overload.
+//!
+//! Each service at each gateway has one [`Admission`]. It bounds the requests that are sent
+//! to targets at once, lets a bounded number wait, and refuses early when a request would
+//! wait past its deadline. Only traffic threads touch it; what control decides arrives as
+//! [`Limits`].
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use ibiscroft_core::Tick;
+//! use ibiscroft_core::admission::{Admission, Arrival, Limits, Next, Outcome, Patience, Ticket};
+//!
+//! let limits = Limits {
+//!     slots: 1,
+//!     queue: 8,
+//!     patient_queue: 8,
+//!     queue_wait: Duration::from_millis(250),
+//! };
+//! let mut admission = Admission::new();
+//! let now = Tick::ZERO;
+//! let ticket = Ticket { deadline: Tick::from_millis(500), patience: Patience::Interactive };
+//! assert_eq!(admission.arrive(&limits, now, ticket, "first"), Arrival::Run("first"));
+//! assert_eq!(admission.arrive(&limits, now, ticket, "second"), Arrival::Waits);
+//! let now = Tick::from_millis(5);
+//! admission.release(&limits, now, Patience::Interactive, Outcome::Answered);
+//! assert_eq!(admission.next(&limits, now), Next::Run("second"));
+//! ```
+
+mod concurrency;
+mod departures;
+mod queue;
+
+pub use queue::{Admission, Arrival, Next};
+
+use std::time::Duration;
+
+use crate::{Tick, copy_data};
+
+copy_data! {
+    /// What control grants to one service at one gateway.
+    pub struct Limits {
+        /// Slots of all targets that may receive requests.
+        pub slots: u32,
+        /// Requests that may wait.
+        pub queue: u32,
+        /// Patient requests that may wait.
+        pub patient_queue: u32,
+        /// Longest wait of a request that is not patient.
+        pub queue_wait: Duration,
+    }
+
+    /// Whether a caller waits for long.
+    pub enum Patience {
+        /// The caller waits for the answer.
+        Interactive,
+        /// The caller accepts to wait until there is room, overnight if need be.
+        Patient,
+    }
+
+    /// What admission knows of a request.
+    pub struct Ticket {
+        /// When the caller stops waiting.
+        pub deadline: Tick,
+        /// Whether the caller waits for long.
+        pub patience: Patience,
+    }
+
+    /// How an admitted request ended.
+    pub enum Outcome {
+        /// A target answered.
+        Answered,
+        /// A target answered and reported a line of waiting requests.
+        Congested,
+        /// Each target that was tried refused the request.
+        Shed,
+        /// The deadline passed.
+        TimedOut,
+        /// It failed in a way that says nothing of the load.
+        Failed,
+    }
+}
--- /dev/null
+++ b/ibiscroft-core/src/admission/queue.rs
@@ -0,0 +1,221 @@
+//! Requests that run and requests that wait.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::concurrency::ConcurrencyLimit;
+use super::departures::Departures;
+use super::{Limits, Outcome, Patience, Ticket};
+use crate::Tick;
+
+/// Shortest time after which a refused caller is asked to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Longest time after which a refused caller is asked to come back.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
+/// Requests sent at once for each patient one among them.
+const PATIENT_SHARE: u32 = 4;
+
+/// What becomes of an arriving request.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Arrival<W> {
+    /// It may be sent now.
+    Run(W),
+    /// It waits; [`Admission::next`] returns its waiter later.
+    Waits,
+    /// It is refused: too many wait, or it would wait too long.
+    Refused {
+        /// The waiter that was passed in.
+        waiter: W,
+        /// When the caller may come back, from the measured rate of answers.
+        retry_after: Duration,
+    },
+}
+
+/// What becomes of a waiting request.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Next<W> {
+    /// It may be sent now.
+    Run(W),
+    /// It waited too long and is refused.
+    Expired(W),
+    /// No waiting request changes its state now.
+    None,
+}
+
+#[derive(Debug)]
+struct Waiting<W> {
+    until: Tick,
+    waiter: W,
+}
+
+/// Bounds the requests of one service that a gateway sends at once and lets wait.
+///
+/// `W` identifies a waiting request to the embedding program, for instance the sender of a
+/// one-shot channel. A request that got [`Arrival::Run`] or [`Next::Run`] must be ended with
+/// [`Admission::release`], and [`Admission::next`] called until it returns [`Next::None`].
+#[derive(Debug)]
+pub struct Admission<W> {
+    running: u32,
+    running_patient: u32,
+    concurrency: ConcurrencyLimit,
+    departures: Departures,
+    queue: VecDeque<Waiting<W>>,
+    patient: VecDeque<Waiting<W>>,
+}
+
+impl<W> Admission<W> {
+    /// Makes an admission without requests.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            running: 0,
+            running_patient: 0,
+            concurrency: ConcurrencyLimit::new(),
+            departures: Departures::default(),
+            queue: VecDeque::new(),
+            patient: VecDeque::new(),
+        }
+    }
+
+    /// Returns the requests that were sent and did not end yet.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Returns the requests that wait, patient ones not counted.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the patient requests that wait.
+    #[must_use]
+    pub fn waiting_patient(&self) -> usize {
+        self.patient.len()
+    }
+
+    /// Returns how many requests may be sent at once at present.
+    #[must_use]
+    pub fn concurrency(&self, limits: &Limits) -> u32 {
+        self.concurrency.current(limits.slots)
+    }
+
+    /// Decides on a request that arrives.
+    pub fn arrive(&mut self, limits: &Limits, now: Tick, ticket: Ticket, waiter: W) -> Arrival<W> {
+        match ticket.patience {
+            Patience::Interactive => self.arrive_interactive(limits, now, ticket.deadline, waiter),
+            Patience::Patient => self.arrive_patient(limits, now, ticket.deadline, waiter),
+        }
+    }
+
+    /// Ends a request that ran.
+    pub fn release(&mut self, limits: &Limits, now: Tick, patience: Patience, outcome: Outcome) {
+        self.concurrency.adjust(limits.slots, self.running, outcome);
+        self.departures.note_departure(now);
+        self.running = self.running.saturating_sub(1);
+        if patience == Patience::Patient {
+            self.running_patient = self.running_patient.saturating_sub(1);
+        }
+    }
+
+    /// Returns a waiting request that may be sent or waited too long.
+    pub fn next(&mut self, limits: &Limits, now: Tick) -> Next<W> {
+        if let Some(expired) = pop_expired(&mut self.queue, now) {
+            return Next::Expired(expired);
+        }
+        if let Some(expired) = pop_expired(&mut self.patient, now) {
+            return Next::Expired(expired);
+        }
+        if self.has_room(limits)
+            && let Some(waiting) = self.queue.pop_front()
+        {
+            self.start(now);
+            return Next::Run(waiting.waiter);
+        }
+        if self.has_patient_room(limits)
+            && let Some(waiting) = self.patient.pop_front()
+        {
+            self.start_patient(now);
+            return Next::Run(waiting.waiter);
+        }
+        Next::None
+    }
+
+    fn arrive_interactive(
+        &mut self,
+        limits: &Limits,
+        now: Tick,
+        deadline: Tick,
+        waiter: W,
+    ) -> Arrival<W> {
+        if self.queue.is_empty() && self.has_room(limits) {
+            self.start(now);
+            return Arrival::Run(waiter);
+        }
+        let wait = self.departures.expected(now, self.queue.len() + 1);
+        let allowed = limits.queue_wait.min(deadline.since(now));
+        if self.queue.len() >= limits.queue as usize || wait > allowed {
+            return refused(waiter, wait);
+        }
+        self.queue.push_back(Waiting { until: now + allowed, waiter });
+        Arrival::Waits
+    }
+
+    fn arrive_patient(
+        &mut self,
+        limits: &Limits,
+        now: Tick,
+        deadline: Tick,
+        waiter: W,
+    ) -> Arrival<W> {
+        if self.patient.is_empty() && self.has_patient_room(limits) {
+            self.start_patient(now);
+            return Arrival::Run(waiter);
+        }
+        if self.patient.len() >= limits.patient_queue as usize || deadline <= now {
+            let wait = self.departures.expected(now, self.patient.len() + 1);
+            return refused(waiter, wait);
+        }
+        self.patient.push_back(Waiting { until: deadline, waiter });
+        Arrival::Waits
+    }
+
+    fn has_room(&self, limits: &Limits) -> bool {
+        self.running < self.concurrency(limits)
+    }
+
+    /// Patient requests use room that nobody waits for, and only a share of it.
+    fn has_patient_room(&self, limits: &Limits) -> bool {
+        let share = (self.concurrency(limits) / PATIENT_SHARE).max(1);
+        self.queue.is_empty() && self.has_room(limits) && self.running_patient < share
+    }
+
+    fn start(&mut self, now: Tick) {
+        if self.running == 0 {
+            self.departures.note_busy(now);
+        }
+        self.running += 1;
+    }
+
+    fn start_patient(&mut self, now: Tick) {
+        self.start(now);
+        self.running_patient += 1;
+    }
+}
+
+impl<W> Default for Admission<W> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn refused<W>(waiter: W, wait: Duration) -> Arrival<W> {
+    Arrival::Refused { waiter, retry_after: wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER) }
+}
+
+/// Removes the oldest request if it waited too long.
+fn pop_expired<W>(queue: &mut VecDeque<Waiting<W>>, now: Tick) -> Option<W> {
+    let is_expired = queue.front().is_some_and(|waiting| waiting.until <= now);
+    if is_expired { queue.pop_front().map(|waiting| waiting.waiter) } else { None }
+}
--- a/ibiscroft-core/src/budget.rs
+++ b/ibiscroft-core/src/budget.rs
@@ -1,1 +1,9 @@
 //! Token buckets and retry budgets.
+//!
+//! Both are shared by all traffic threads: each state is one or two atomics.
+
+mod retry;
+mod token_bucket;
+
+pub use retry::{Failure, RetryBudget, ServiceBudget};
+pub use token_bucket::TokenBucket;
