feat(gateway): select with the core's pool, load table and retry budget

Cause: the thin daemon chose targets by itself; the core has selection, backoff and retry budgets. Ruled out: keeping a second in-flight counter in the gateway. Conclusion: the request path takes its decisions from the core.

--- a/ibiscroft-gateway/src/backend_client.rs
+++ b/ibiscroft-gateway/src/backend_client.rs
@@ -7,13 +7,13 @@
 use eyre::WrapErr;
 use futures_util::{Stream, StreamExt, stream};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use ibiscroft_core::Tick;
+use ibiscroft_core::selection::{Candidate, InFlight};
 use ibiscroft_wire::{ErrorKind, headers};
 use reqwest::{Client, Response};
 
-use crate::clock::Clock;
 use crate::exchange::{Answer, AnswerBody, Exchange};
 use crate::filters::identify::remove_hop_by_hop;
-use crate::snapshot::{InFlightGuard, TargetView};
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -33,15 +33,27 @@
     fresh: Client,
 }
 
-/// A backend server's answer, the end of its body still to come.
+/// The head of a backend server's answer, its body still to come.
 #[derive(Debug)]
 pub(crate) struct Sent {
-    /// The answer.
-    pub(crate) answer: Answer,
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Option<Response>,
     /// Whether the target said that it drains.
     pub(crate) draining: bool,
 }
 
+impl Sent {
+    /// Returns the answer; `in_flight` counts until its body ends.
+    pub(crate) fn into_answer(self, in_flight: InFlight) -> Answer {
+        let body = match self.body {
+            None => AnswerBody::Whole(Bytes::new()),
+            Some(res) => AnswerBody::Stream(Box::pin(counted(res.bytes_stream(), in_flight))),
+        };
+        Answer { status: self.status, headers: self.headers, body }
+    }
+}
+
 /// Why a request got no answer from a target.
 #[derive(Clone, Debug)]
 pub(crate) enum SendError {
@@ -66,7 +78,7 @@
         Ok(Self { pooled: client(MAX_IDLE)?, fresh: client(0)? })
     }
 
-    /// Sends the request to one target; the guard lives until the answer's body ends.
+    /// Sends the request to one target.
     ///
     /// # Errors
     ///
@@ -74,13 +86,12 @@
     pub(crate) async fn send(
         &self,
         ex: &Exchange,
-        view: &TargetView,
-        guard: InFlightGuard,
-        clock: Clock,
+        candidate: &Candidate,
+        now: Tick,
     ) -> Result<Sent, SendError> {
-        let left = ex.deadline.since(clock.now());
+        let left = ex.deadline.since(now);
         let client = if ex.is_at_most_once() { &self.fresh } else { &self.pooled };
-        let url = format!("http://{}{}", view.target.address, ex.path_and_query);
+        let url = format!("http://{}{}", candidate.target.address, ex.path_and_query);
         let request = client
             .request(ex.method.clone(), url)
             .headers(request_headers(ex, left))
@@ -88,7 +99,7 @@
             .build()
             .map_err(|error| SendError::NotSent(error.to_string()))?;
         match tokio::time::timeout(left, client.execute(request)).await {
-            Ok(Ok(res)) => check_answer(ex, res, guard),
+            Ok(Ok(res)) => check_answer(ex, res),
             Ok(Err(error)) if error.is_connect() => Err(SendError::NotSent(error.to_string())),
             Ok(Err(error)) => Err(SendError::Unknown(ErrorKind::ConnectionLost, error.to_string())),
             Err(_) => {
@@ -132,7 +143,7 @@
     HeaderValue::from(u64::try_from(value).unwrap_or(u64::MAX))
 }
 
-fn check_answer(ex: &Exchange, res: Response, guard: InFlightGuard) -> Result<Sent, SendError> {
+fn check_answer(ex: &Exchange, res: Response) -> Result<Sent, SendError> {
     let status = res.status();
     let mut headers = res.headers().clone();
     let draining = text(&headers, headers::TARGET_STATE) == Some("draining");
@@ -146,22 +157,19 @@
         return Err(SendError::Shed { draining });
     }
     remove_hop_by_hop(&mut headers);
-    let body = if res.content_length() == Some(0) || ex.method == Method::HEAD {
-        AnswerBody::Whole(Bytes::new())
-    } else {
-        AnswerBody::Stream(Box::pin(guarded(res.bytes_stream(), guard)))
-    };
-    Ok(Sent { answer: Answer { status, headers, body }, draining })
+    let is_empty = res.content_length() == Some(0) || ex.method == Method::HEAD;
+    let body = if is_empty { None } else { Some(res) };
+    Ok(Sent { status, headers, body, draining })
 }
 
-/// Passes on a body and holds the guard until it ends.
-fn guarded(
+/// Passes on a body; the request counts as in flight until it ends.
+fn counted(
     body: impl Stream<Item = reqwest::Result<Bytes>> + Send + Unpin + 'static,
-    guard: InFlightGuard,
+    in_flight: InFlight,
 ) -> impl Stream<Item = io::Result<Bytes>> + Send {
-    stream::unfold((body, guard), |(mut body, guard)| async move {
+    stream::unfold((body, in_flight), |(mut body, in_flight)| async move {
         let piece = body.next().await?;
-        Some((piece.map_err(io::Error::other), (body, guard)))
+        Some((piece.map_err(io::Error::other), (body, in_flight)))
     })
 }
 
--- a/ibiscroft-gateway/src/control.rs
+++ b/ibiscroft-gateway/src/control.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::ids::InstanceName;
+use ibiscroft_core::ids::{InstanceName, TargetName};
 use ibiscroft_platform::{StoreClient, StoreError};
 use ibiscroft_wire::generated::peer::PeerMessage;
 use ibiscroft_wire::generated::store::WatchAnswer;
@@ -164,7 +164,9 @@
             PeerMessage::Registers { configuration, zones } => {
                 self.registers.on_peer_records(&configuration, &zones);
             }
-            PeerMessage::TargetLeaving { target, .. } => self.targets.on_leaving(&target),
+            PeerMessage::TargetLeaving { target, .. } => {
+                self.targets.on_leaving(&TargetName::new(target));
+            }
             _ => {}
         }
     }
@@ -177,11 +179,11 @@
     }
 
     fn on_observation(&mut self, seen: &Observation) {
-        let now = self.shared.clock.now();
         match seen {
-            Observation::Unreachable { target } => self.targets.on_unreachable(target, now),
             Observation::Draining { target } => {
-                self.targets.on_leaving(target.as_str());
+                if !self.targets.on_leaving(target) {
+                    return;
+                }
                 let message =
                     PeerMessage::TargetLeaving { target: target.to_string(), run: String::new() };
                 self.peers.broadcast(&message);
@@ -203,7 +205,6 @@
 
     fn on_tick(&mut self) {
         let now = self.shared.clock.now();
-        self.targets.on_tick(now);
         if now < self.next_ping {
             return;
         }
--- a/ibiscroft-gateway/src/controllers/targets.rs
+++ b/ibiscroft-gateway/src/controllers/targets.rs
@@ -1,32 +1,24 @@
 //! State of each target: may it receive new work?
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
-use std::time::Duration;
 
-use ibiscroft_core::Tick;
-use ibiscroft_core::config::{Service, Target, ZoneState};
-use ibiscroft_core::ids::{TargetName, ZoneName};
+use ibiscroft_core::budget::ServiceBudget;
+use ibiscroft_core::config::{Configuration, Service, Target, ZoneState};
+use ibiscroft_core::ids::{ServiceName, TargetName, ZoneName};
+use ibiscroft_core::selection::{Candidate, Eligibility, LoadTable, Pool};
 use serde_json::{Value, json};
 
 use crate::controllers::registers::Registers;
 use crate::events::event;
-use crate::snapshot::{ServiceView, Snapshot, TargetCounters, TargetState, TargetView};
-
-/// How long a target that refused a connection receives no new work.
-const UNREACHABLE_PAUSE: Duration = Duration::from_secs(1);
-
-/// What is known of one target.
-#[derive(Debug, Default)]
-struct TargetRecord {
-    counters: Arc<TargetCounters>,
-    unreachable_until: Option<Tick>,
-}
+use crate::snapshot::{ServiceView, Snapshot};
 
 /// State of all targets.
 #[derive(Debug, Default)]
 pub(crate) struct Targets {
-    records: HashMap<TargetName, TargetRecord>,
+    loads: LoadTable,
+    budgets: HashMap<ServiceName, Arc<ServiceBudget>>,
+    leaving: HashSet<TargetName>,
     changed: bool,
 }
 
@@ -36,47 +28,20 @@
         std::mem::take(&mut self.changed)
     }
 
-    /// Notes that a target refused a connection.
-    pub(crate) fn on_unreachable(&mut self, target: &TargetName, now: Tick) {
-        let Some(record) = self.records.get_mut(target) else {
-            return;
-        };
-        if record.unreachable_until.is_none() {
-            event!(TargetUnreachable, "target {target}");
+    /// Notes that a target leaves; returns whether that is news.
+    pub(crate) fn on_leaving(&mut self, target: &TargetName) -> bool {
+        if !self.leaving.insert(target.clone()) {
+            return false;
         }
-        record.unreachable_until = Some(now + UNREACHABLE_PAUSE);
-        self.changed = true;
-    }
-
-    /// Notes that a target leaves.
-    pub(crate) fn on_leaving(&mut self, target: &str) {
-        let Some(record) = self.records.get(&TargetName::new(target)) else {
-            return;
-        };
-        record.counters.set_leaving(true);
         event!(TargetLeaving, "target {target}");
         self.changed = true;
-    }
-
-    /// Ends pauses that are over.
-    pub(crate) fn on_tick(&mut self, now: Tick) {
-        for (target, record) in &mut self.records {
-            if record.unreachable_until.is_none_or(|until| now < until) {
-                continue;
-            }
-            record.unreachable_until = None;
-            self.changed = true;
-            event!(TargetBack, "target {target} is tried again");
-        }
+        true
     }
 
     /// Makes the view for traffic threads from the registers and the state of targets.
     pub(crate) fn snapshot(&mut self, registers: &Registers, own_zone: &ZoneName) -> Snapshot {
         let cfg = registers.configuration();
-        let configured = |name: &TargetName| {
-            cfg.services.iter().flat_map(|service| &service.targets).any(|t| t.name == *name)
-        };
-        self.records.retain(|name, _| configured(name));
+        self.forget_unconfigured(cfg);
         let mut services = Vec::with_capacity(cfg.services.len());
         for service in &cfg.services {
             services.push(Arc::new(self.service_view(service, registers.zones(), own_zone)));
@@ -87,46 +52,69 @@
     /// Describes all targets of a snapshot.
     pub(crate) fn dump(&self, snapshot: &Snapshot) -> Value {
         let mut targets = Vec::new();
-        for service in &snapshot.services {
-            for view in &service.targets {
-                let state =
-                    if view.counters.is_leaving() { TargetState::Leaving } else { view.state };
+        for view in &snapshot.services {
+            for candidate in view.pool.candidates() {
                 targets.push(json!({
-                    "name": view.target.name,
-                    "service": service.service.name,
-                    "zone": view.target.zone,
-                    "state": format!("{state:?}"),
-                    "in_flight": view.counters.in_flight(),
+                    "name": candidate.target.name,
+                    "service": view.service.name,
+                    "zone": candidate.target.zone,
+                    "state": state_name(candidate.eligibility),
+                    "in_flight": candidate.load.in_flight(),
                 }));
             }
         }
         Value::Array(targets)
     }
 
+    fn forget_unconfigured(&mut self, cfg: &Configuration) {
+        let mut configured = HashSet::new();
+        for service in &cfg.services {
+            configured.extend(service.targets.iter().map(|target| &target.name));
+        }
+        self.loads.retain(|name| configured.contains(name));
+        self.leaving.retain(|name| configured.contains(name));
+        self.budgets.retain(|name, _| cfg.services.iter().any(|service| service.name == *name));
+    }
+
     fn service_view(
         &mut self,
         service: &Service,
         zones: &ZoneState,
         own_zone: &ZoneName,
     ) -> ServiceView {
-        let mut targets = Vec::with_capacity(service.targets.len());
+        let mut candidates = Vec::with_capacity(service.targets.len());
         for target in &service.targets {
-            targets.push(self.target_view(target, zones));
+            candidates.push(Candidate {
+                target: target.clone(),
+                eligibility: self.eligibility(target, zones),
+                load: self.loads.entry(&target.name),
+            });
+        }
+        let budget = self.budgets.entry(service.name.clone());
+        let budget = budget.or_insert_with(|| Arc::new(ServiceBudget::new(service.retry_share)));
+        ServiceView {
+            service: service.clone(),
+            pool: Pool::new(own_zone, candidates),
+            budget: Arc::clone(budget),
         }
-        ServiceView { service: service.clone(), targets, own_zone: own_zone.clone() }
     }
 
-    fn target_view(&mut self, target: &Target, zones: &ZoneState) -> TargetView {
-        let record = self.records.entry(target.name.clone()).or_default();
-        let state = if zones.is_out(&target.zone) {
-            TargetState::ZoneOut
-        } else if record.counters.is_leaving() {
-            TargetState::Leaving
-        } else if record.unreachable_until.is_some() {
-            TargetState::Unreachable
-        } else {
-            TargetState::Eligible
-        };
-        TargetView { target: target.clone(), state, counters: Arc::clone(&record.counters) }
+    fn eligibility(&self, target: &Target, zones: &ZoneState) -> Eligibility {
+        if zones.is_out(&target.zone) {
+            return Eligibility::ZoneOut;
+        }
+        if self.leaving.contains(&target.name) {
+            return Eligibility::Leaving;
+        }
+        Eligibility::Warm
+    }
+}
+
+fn state_name(eligibility: Eligibility) -> &'static str {
+    match eligibility {
+        Eligibility::Warm => "warm",
+        Eligibility::Cold => "cold",
+        Eligibility::ZoneOut => "zone_out",
+        Eligibility::Leaving => "leaving",
     }
 }
--- a/ibiscroft-gateway/src/events.rs
+++ b/ibiscroft-gateway/src/events.rs
@@ -60,9 +60,6 @@
     PeerUp 4001 Info "A connection to another gateway is up.",
     PeerDown 4002 Info "A connection to another gateway ended.",
     TargetLeaving 5001 Info "A target started leaving.",
-    TargetUnreachable 5002 Warn "A target refused connections and is left out for a while.",
-    TargetBack 5003 Info "A target serves again.",
-    AnswerMismatch 6001 Warn "A target's answer belonged to another request.",
 }
 
 /// Logs a numbered event.
--- a/ibiscroft-gateway/src/filters/forward.rs
+++ b/ibiscroft-gateway/src/filters/forward.rs
@@ -3,19 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ibiscroft_core::ids::TargetName;
+use ibiscroft_core::budget;
+use ibiscroft_core::selection::{Candidate, Selection, Selector, Tried, TwoChoices};
 use ibiscroft_wire::ErrorKind;
-use rand::Rng;
+use rand::RngCore;
 
 use crate::backend_client::{BackendClient, SendError, Sent};
-use crate::exchange::{Exchange, Failure, Reply};
+use crate::exchange::{Answer, Exchange, Failure, Reply};
 use crate::filters::Handler;
 use crate::observation::Observation;
 use crate::shared::Shared;
-use crate::snapshot::{ServiceView, TargetView};
 
-/// Targets that one request is offered to at the most.
-const MAX_ATTEMPTS: usize = 4;
 /// Advice to callers when no target has room.
 const RETRY_AFTER_SHED: Duration = Duration::from_millis(200);
 
@@ -24,92 +22,78 @@
 pub(crate) struct Forward {
     shared: Arc<Shared>,
     client: BackendClient,
+    selector: TwoChoices,
 }
 
 impl Forward {
     /// Makes the end of a chain.
     pub(crate) fn new(shared: Arc<Shared>, client: BackendClient) -> Self {
-        Self { shared, client }
+        Self { shared, client, selector: TwoChoices::default() }
     }
 
+    /// Offers the request to one target after the other until one answers.
     async fn attempts(&self, ex: &mut Exchange) -> Reply {
         let service = Arc::clone(&ex.service);
-        let mut tried: Vec<TargetName> = Vec::new();
-        let mut last = Failure::new(ErrorKind::NoTarget, "no target may receive new work");
-        while tried.len() < MAX_ATTEMPTS {
-            if self.shared.clock.now() >= ex.deadline {
+        service.budget.note_call();
+        let mut tried = Tried::default();
+        let mut last: Option<Failure> = None;
+        loop {
+            let now = self.shared.clock.now();
+            if now >= ex.deadline {
                 let detail = "the deadline passed before a target took the request";
                 return Err(Failure::new(ErrorKind::DeadlinePassed, detail));
             }
-            let Some(view) = select(&service, &tried) else {
-                return Err(last);
+            let selection = self.selector.select(&service.pool, &tried, now, &mut rand::rng());
+            let index = match selection {
+                Selection::Warm(index) => index,
+                none_left => return Err(last.unwrap_or_else(|| no_target(none_left))),
             };
-            tried.push(view.target.name.clone());
-            match self.attempt(ex, view).await {
-                Ok(sent) => return Ok(sent.answer),
-                Err(error) => last = self.after_error(ex, view, error)?,
+            tried.insert(index);
+            match self.attempt(ex, service.pool.candidate(index)).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => {
+                    let (failure, cause) = failure(error);
+                    let now = self.shared.clock.now();
+                    if !service.budget.try_again(cause, ex.is_safe(), now) {
+                        return Err(failure);
+                    }
+                    last = Some(failure);
+                }
             }
         }
-        Err(last)
     }
 
-    async fn attempt(&self, ex: &mut Exchange, view: &TargetView) -> Result<Sent, SendError> {
+    async fn attempt(&self, ex: &mut Exchange, candidate: &Candidate) -> Result<Answer, SendError> {
         if let Some(key) = &ex.key {
-            log::debug!("order {key} goes to {}", view.target.name);
+            log::debug!("order {key} goes to {}", candidate.target.name);
         }
-        let guard = view.counters.begin();
+        let in_flight = candidate.load.begin();
         let begun = self.shared.clock.now();
-        ex.sent_to = Some(view.target.name.clone());
-        let sent = self.client.send(ex, view, guard, self.shared.clock).await;
-        ex.upstream_time += self.shared.clock.now().since(begun);
-        if let Ok(sent) = &sent {
-            self.observe_answer(view, sent);
+        ex.sent_to = Some(candidate.target.name.clone());
+        let sent = self.client.send(ex, candidate, begun).await;
+        let now = self.shared.clock.now();
+        ex.upstream_time += now.since(begun);
+        if is_draining(&sent) {
+            let target = candidate.target.name.clone();
+            self.shared.observe(Observation::Draining { target });
         }
-        sent
-    }
-
-    /// Decides whether another target may be tried; returns the failure to report if none is left.
-    fn after_error(
-        &self,
-        ex: &Exchange,
-        view: &TargetView,
-        error: SendError,
-    ) -> Result<Failure, Failure> {
-        let target = view.target.name.clone();
-        match error {
-            SendError::NotSent(detail) => {
-                self.shared.observe(Observation::Unreachable { target });
-                Ok(Failure::new(ErrorKind::ConnectFailed, detail))
-            }
-            SendError::Shed { draining } => {
-                if draining {
-                    self.observe_leaving(view);
-                }
-                let detail = "the targets that were tried refused the request";
-                Ok(Failure::new(ErrorKind::Shed, detail).retry_after(RETRY_AFTER_SHED))
+        match sent {
+            Ok(sent) => {
+                candidate.load.note_answer(now);
+                Ok(sent.into_answer(in_flight))
             }
-            SendError::Unknown(kind, detail) => {
-                let failure = Failure::new(kind, detail);
-                if ex.is_safe() && kind != ErrorKind::AnswerTimeout {
-                    return Ok(failure);
+            Err(error) => {
+                match &error {
+                    SendError::Shed { .. } => in_flight.end_shed(now),
+                    SendError::NotSent(_) => {
+                        in_flight.end_unreachable(now, rand::rng().next_u64());
+                    }
+                    SendError::Unknown(..) => {}
                 }
-                Err(failure)
+                Err(error)
             }
         }
     }
-
-    fn observe_answer(&self, view: &TargetView, sent: &Sent) {
-        if sent.draining {
-            self.observe_leaving(view);
-        }
-    }
-
-    fn observe_leaving(&self, view: &TargetView) {
-        if !view.counters.set_leaving(true) {
-            let target = view.target.name.clone();
-            self.shared.observe(Observation::Draining { target });
-        }
-    }
 }
 
 impl Handler for Forward {
@@ -118,22 +102,37 @@
     }
 }
 
-/// Chooses the less loaded of two random eligible targets that were not tried yet.
-///
-/// At equal load, the gateway's own availability zone comes first.
-fn select<'a>(service: &'a ServiceView, tried: &[TargetName]) -> Option<&'a TargetView> {
-    let targets = &service.targets;
-    let mut rng = rand::rng();
-    let eligible = |view: &&TargetView| view.is_eligible() && !tried.contains(&view.target.name);
-    let count = targets.iter().filter(eligible).count();
-    if count == 0 {
-        return None;
+fn is_draining(sent: &Result<Sent, SendError>) -> bool {
+    match sent {
+        Ok(sent) => sent.draining,
+        Err(SendError::Shed { draining }) => *draining,
+        Err(_) => false,
+    }
+}
+
+/// Returns what the caller is told of a failed try, and its cause as the retry rules see it.
+fn failure(error: SendError) -> (Failure, budget::Failure) {
+    match error {
+        SendError::NotSent(detail) => {
+            (Failure::new(ErrorKind::ConnectFailed, detail), budget::Failure::NotSent)
+        }
+        SendError::Shed { .. } => {
+            let detail = "the targets that were tried refused the request";
+            let failure = Failure::new(ErrorKind::Shed, detail).retry_after(RETRY_AFTER_SHED);
+            (failure, budget::Failure::Shed)
+        }
+        SendError::Unknown(ErrorKind::AnswerTimeout, detail) => {
+            (Failure::new(ErrorKind::AnswerTimeout, detail), budget::Failure::TimedOut)
+        }
+        SendError::Unknown(kind, detail) => (Failure::new(kind, detail), budget::Failure::Lost),
     }
-    let first = targets.iter().filter(eligible).nth(rng.random_range(0..count))?;
-    let second = targets.iter().filter(eligible).nth(rng.random_range(0..count))?;
-    let first_load = first.counters.in_flight() * second.target.slots.get();
-    let second_load = second.counters.in_flight() * first.target.slots.get();
-    let second_is_near = second.target.zone == service.own_zone;
-    let second_wins = second_load < first_load || (second_load == first_load && second_is_near);
-    Some(if second_wins { second } else { first })
+}
+
+fn no_target(selection: Selection) -> Failure {
+    let (kind, detail) = match selection {
+        Selection::Cold(_) => (ErrorKind::OnlyColdTargets, "all targets are starting"),
+        Selection::Unreachable => (ErrorKind::ConnectFailed, "all targets refuse connections"),
+        _ => (ErrorKind::NoTarget, "no target may receive new work"),
+    };
+    Failure::new(kind, detail).retry_after(RETRY_AFTER_SHED)
 }
--- a/ibiscroft-gateway/src/observation.rs
+++ b/ibiscroft-gateway/src/observation.rs
@@ -5,11 +5,6 @@
 /// Something a traffic thread saw at a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Observation {
-    /// The target refused a connection.
-    Unreachable {
-        /// The target.
-        target: TargetName,
-    },
     /// The target said that it drains.
     Draining {
         /// The target.
