feat: operators' command line with questionnaire, zones, status and dump

The thin path needs a way to put a configuration in the store and to look at a gateway.

Changes are written by compare-and-swap with a random change id. After a lost answer the key is read back: the same change id means accepted; the expected version means that the write can be repeated, as only one write succeeds from one version; any other record names the winner.

Ruled out: merging the zone state into the configuration (a questionnaire would undo a departure); a retry on top of the winner (an operator must see what was accepted first).

--- /dev/null
+++ b/ibiscroft-ops/src/dump.rs
@@ -0,0 +1,48 @@
+//! Shows the state of one gateway.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use ibiscroft_core::ids::InstanceName;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::error::OpsError;
+use crate::roster_client;
+use crate::store_client::{self, StoreClient};
+
+/// State of one gateway, as the gateway gave it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct DumpReport(pub Value);
+
+impl fmt::Display for DumpReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:#}", self.0)
+    }
+}
+
+/// Asks a gateway for its state; an address needs no store.
+pub(crate) async fn dump(
+    store: Option<&StoreClient>,
+    instance: &str,
+) -> Result<DumpReport, OpsError> {
+    let address = match instance.parse() {
+        Ok(address) => address,
+        Err(_) => find(store, InstanceName::new(instance)).await?,
+    };
+    roster_client::dump(&store_client::http_client()?, address).await.map(DumpReport)
+}
+
+async fn find(store: Option<&StoreClient>, instance: InstanceName) -> Result<SocketAddr, OpsError> {
+    let Some(store) = store else {
+        let message = "--store ADDR[,ADDR] is required to find an instance by name";
+        return Err(OpsError::Usage(message.to_string()));
+    };
+    let gateways = roster_client::gateways(store).await?;
+    if let Some(gateway) = gateways.iter().find(|gateway| gateway.instance == instance) {
+        return Ok(gateway.address);
+    }
+    let known = gateways.into_iter().map(|gateway| gateway.instance).collect();
+    Err(OpsError::UnknownInstance { instance, known })
+}
--- /dev/null
+++ b/ibiscroft-ops/src/status.rs
@@ -0,0 +1,238 @@
+//! Shows what is in force on each gateway, and who lags.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use ibiscroft_core::ids::{ChangeId, Generation, InstanceName, TargetName, ZoneName};
+use ibiscroft_wire::generated::configuration::{ConfigurationRecord, ZoneStateRecord};
+use serde::Serialize;
+use serde_json::Value;
+use tokio::task::JoinSet;
+
+use crate::error::OpsError;
+use crate::register_client::{self, Register, Stored};
+use crate::roster_client::{self, Gateway};
+use crate::store_client::{self, StoreClient};
+use crate::zone;
+
+/// What is in force, in the store and on each gateway.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct StatusReport {
+    /// Configuration in the store.
+    pub configuration: RegisterStatus,
+    /// Zone state in the store.
+    pub zones: RegisterStatus,
+    /// Availability zones that receive no new work.
+    pub out: Vec<ZoneName>,
+    /// Gateways by name.
+    pub gateways: Vec<GatewayStatus>,
+    /// Targets by name, over all gateways that answered.
+    pub targets: BTreeMap<TargetName, TargetStatus>,
+}
+
+/// A register as it stands in the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct RegisterStatus {
+    /// Generation; 0 when nothing was accepted yet.
+    pub generation: Generation,
+    /// Change that produced it.
+    pub change_id: Option<ChangeId>,
+}
+
+/// What one gateway says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct GatewayStatus {
+    /// Name of its instance.
+    pub instance: InstanceName,
+    /// Availability zone it runs in.
+    pub availability_zone: ZoneName,
+    /// Whether it accepts callers; absent when it did not answer.
+    pub ready: Option<bool>,
+    /// Generation of the configuration in force; absent when it did not answer.
+    pub configuration: Option<Generation>,
+    /// Generation of the zone state in force; absent when it did not answer.
+    pub zones: Option<Generation>,
+    /// Whether it has an older configuration or zone state than the store, or did not answer.
+    pub lags: bool,
+    /// Why it did not answer.
+    pub error: Option<String>,
+}
+
+/// What the gateways say of one target.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct TargetStatus {
+    /// Service it belongs to.
+    pub service: String,
+    /// Availability zone it runs in.
+    pub availability_zone: String,
+    /// Number of gateways that see each state.
+    pub states: BTreeMap<String, u32>,
+    /// Requests in flight from all gateways.
+    pub in_flight: u64,
+}
+
+impl StatusReport {
+    /// Returns whether a gateway does not have the newest registers in force.
+    #[must_use]
+    pub fn is_lagging(&self) -> bool {
+        self.gateways.iter().any(|gateway| gateway.lags)
+    }
+}
+
+/// Reads the store and asks every live gateway.
+pub(crate) async fn status(store: &StoreClient) -> Result<StatusReport, OpsError> {
+    let configuration = register_client::read::<ConfigurationRecord>(store).await?;
+    let zones = register_client::read::<ZoneStateRecord>(store).await?;
+    let gateways = roster_client::gateways(store).await?;
+    let mut report = StatusReport {
+        configuration: register_status(&configuration),
+        zones: register_status(&zones),
+        out: out_zones(&zones),
+        gateways: Vec::with_capacity(gateways.len()),
+        targets: BTreeMap::new(),
+    };
+    for (gateway, answer) in ask_all(gateways).await? {
+        if let Ok(dump) = &answer {
+            add_targets(&mut report.targets, dump);
+        }
+        let status = gateway_status(&report, &gateway, answer);
+        report.gateways.push(status);
+    }
+    report.gateways.sort_by(|left, right| left.instance.cmp(&right.instance));
+    Ok(report)
+}
+
+/// Asks all gateways at once, so that a silent one costs a single timeout.
+async fn ask_all(
+    gateways: Vec<Gateway>,
+) -> Result<Vec<(Gateway, Result<Value, OpsError>)>, OpsError> {
+    let http = store_client::http_client()?;
+    let mut asks = JoinSet::new();
+    for gateway in gateways {
+        let http = http.clone();
+        asks.spawn(async move {
+            let answer = roster_client::dump(&http, gateway.address).await;
+            (gateway, answer)
+        });
+    }
+    Ok(asks.join_all().await)
+}
+
+fn register_status<R: Register>(stored: &Stored<R>) -> RegisterStatus {
+    RegisterStatus {
+        generation: stored.generation(),
+        change_id: stored.record.as_ref().map(Register::change_id),
+    }
+}
+
+fn out_zones(stored: &Stored<ZoneStateRecord>) -> Vec<ZoneName> {
+    let Some(record) = &stored.record else {
+        return Vec::new();
+    };
+    record.out.iter().map(|name| ZoneName::new(name.as_str())).collect()
+}
+
+fn gateway_status(
+    report: &StatusReport,
+    gateway: &Gateway,
+    answer: Result<Value, OpsError>,
+) -> GatewayStatus {
+    let mut status = GatewayStatus {
+        instance: gateway.instance.clone(),
+        availability_zone: gateway.zone.clone(),
+        ready: None,
+        configuration: None,
+        zones: None,
+        lags: true,
+        error: None,
+    };
+    match answer {
+        Ok(dump) => {
+            status.ready = dump["ready"].as_bool();
+            status.configuration = generation(&dump, "configuration");
+            status.zones = generation(&dump, "zones");
+            status.lags = status.configuration < Some(report.configuration.generation)
+                || status.zones < Some(report.zones.generation);
+        }
+        Err(error) => status.error = Some(error.to_string()),
+    }
+    status
+}
+
+fn generation(dump: &Value, register: &str) -> Option<Generation> {
+    dump[register]["generation"].as_u64().map(Generation)
+}
+
+/// Adds what one gateway says of its targets; fields it leaves out are passed over.
+fn add_targets(targets: &mut BTreeMap<TargetName, TargetStatus>, dump: &Value) {
+    let Some(found) = dump["targets"].as_array() else {
+        return;
+    };
+    for target in found {
+        let Some(name) = target["name"].as_str() else {
+            continue;
+        };
+        let status = targets.entry(TargetName::new(name)).or_default();
+        status.service = text(&target["service"]);
+        status.availability_zone = text(&target["zone"]);
+        status.in_flight += target["in_flight"].as_u64().unwrap_or(0);
+        *status.states.entry(text(&target["state"])).or_default() += 1;
+    }
+}
+
+fn text(value: &Value) -> String {
+    value.as_str().unwrap_or_default().to_string()
+}
+
+impl fmt::Display for StatusReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "configuration: {}", self.configuration)?;
+        writeln!(f, "zone state:    {}", self.zones)?;
+        writeln!(f, "zones out:     {}", zone::names(&self.out))?;
+        writeln!(f, "gateways ({}):", self.gateways.len())?;
+        for gateway in &self.gateways {
+            writeln!(f, "  {gateway}")?;
+        }
+        write!(f, "targets ({}):", self.targets.len())?;
+        for (name, target) in &self.targets {
+            write!(f, "\n  {name} {target}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for RegisterStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.change_id {
+            Some(change_id) => write!(f, "generation {}, change {change_id}", self.generation),
+            None => f.write_str("none accepted yet"),
+        }
+    }
+}
+
+impl fmt::Display for GatewayStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({})", self.instance, self.availability_zone)?;
+        if let Some(error) = &self.error {
+            return write!(f, " LAGS: {error}");
+        }
+        let ready = if self.ready == Some(true) { "ready" } else { "not ready" };
+        let lags = if self.lags { " LAGS" } else { "" };
+        write!(
+            f,
+            " {ready}, configuration {}, zone state {}{lags}",
+            self.configuration.unwrap_or_default(),
+            self.zones.unwrap_or_default()
+        )
+    }
+}
+
+impl fmt::Display for TargetStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "({}, {}), {} in flight", self.service, self.availability_zone, self.in_flight)?;
+        for (state, count) in &self.states {
+            write!(f, ", {state} on {count}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/ibiscroft-ops/src/zone.rs
@@ -0,0 +1,109 @@
+//! Takes an availability zone out and brings it back.
+
+use std::fmt;
+
+use ibiscroft_core::ids::{ChangeId, Generation, ZoneName};
+use ibiscroft_wire::generated::configuration::{ConfigurationRecord, ZoneStateRecord};
+use serde::Serialize;
+
+use crate::args::Direction;
+use crate::error::OpsError;
+use crate::register_client;
+use crate::store_client::StoreClient;
+
+/// What `zone` did.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ZoneReport {
+    /// Whether a change was written; false when the zone state was as asked already.
+    pub changed: bool,
+    /// Generation of the zone state.
+    pub generation: Generation,
+    /// Change that produced it.
+    pub change_id: ChangeId,
+    /// Availability zones that receive no new work.
+    pub out: Vec<ZoneName>,
+    /// Availability zones that receive work.
+    pub r#in: Vec<ZoneName>,
+}
+
+/// Takes `zone` out or brings it back in.
+///
+/// The zone state is a key of its own, so that no questionnaire undoes a departure.
+pub(crate) async fn change(
+    store: &StoreClient,
+    direction: Direction,
+    zone: &ZoneName,
+    force: bool,
+) -> Result<ZoneReport, OpsError> {
+    let configuration = register_client::read::<ConfigurationRecord>(store).await?;
+    let Some(configuration) = configuration.record else {
+        return Err(OpsError::NoConfiguration);
+    };
+    let all = zone_names(&configuration.availability_zones);
+    let found = register_client::read::<ZoneStateRecord>(store).await?;
+    let current = found.record.as_ref().map_or_else(Vec::new, |record| zone_names(&record.out));
+    let is_known = all.contains(zone) || direction == Direction::In && current.contains(zone);
+    if !is_known {
+        return Err(OpsError::UnknownZone { zone: zone.clone(), allowed: all });
+    }
+    let out = after_change(&current, direction, zone);
+    if let (Some(record), true) = (&found.record, out == current) {
+        let change_id = ChangeId::new(record.change_id.as_str());
+        return Ok(report(false, Generation(record.generation), change_id, out, &all));
+    }
+    let is_any_left = all.iter().any(|zone| !out.contains(zone));
+    if direction == Direction::Out && !is_any_left && !force {
+        return Err(OpsError::LastZone(zone.clone()));
+    }
+    let generation = Generation(found.generation().get() + 1);
+    let change_id = register_client::fresh_change_id()?;
+    let record = ZoneStateRecord {
+        generation: generation.get(),
+        change_id: change_id.to_string(),
+        out: out.iter().map(ToString::to_string).collect(),
+    };
+    register_client::replace(store, &found, &record).await?;
+    Ok(report(true, generation, change_id, out, &all))
+}
+
+fn after_change(current: &[ZoneName], direction: Direction, zone: &ZoneName) -> Vec<ZoneName> {
+    let mut out: Vec<ZoneName> = current.iter().filter(|name| *name != zone).cloned().collect();
+    if direction == Direction::Out {
+        out.push(zone.clone());
+    }
+    out.sort();
+    out
+}
+
+fn report(
+    changed: bool,
+    generation: Generation,
+    change_id: ChangeId,
+    out: Vec<ZoneName>,
+    all: &[ZoneName],
+) -> ZoneReport {
+    let r#in = all.iter().filter(|zone| !out.contains(zone)).cloned().collect();
+    ZoneReport { changed, generation, change_id, out, r#in }
+}
+
+fn zone_names(names: &[String]) -> Vec<ZoneName> {
+    names.iter().map(|name| ZoneName::new(name.as_str())).collect()
+}
+
+impl fmt::Display for ZoneReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let verb = if self.changed { "accepted" } else { "unchanged" };
+        let change_id = &self.change_id;
+        writeln!(f, "zone state {verb}: generation {}, change {change_id}", self.generation)?;
+        writeln!(f, "out: {}", names(&self.out))?;
+        write!(f, "in:  {}", names(&self.r#in))
+    }
+}
+
+/// Joins availability zones for people.
+pub(crate) fn names(zones: &[ZoneName]) -> String {
+    if zones.is_empty() {
+        return "(none)".to_string();
+    }
+    zones.iter().map(ZoneName::as_str).collect::<Vec<_>>().join(", ")
+}
--- a/ibiscroft-ops/tests/it/main.rs
+++ b/ibiscroft-ops/tests/it/main.rs
@@ -1,1 +1,5 @@
 //! Tests of ibiscroft-ops.
+
+mod args;
+mod difference;
+mod examples;
--- a/ibiscroft-wire/src/generated.rs
+++ b/ibiscroft-wire/src/generated.rs
@@ -11,6 +11,8 @@
 #[rustfmt::skip]
 pub mod questionnaire;
 #[rustfmt::skip]
+pub mod roster;
+#[rustfmt::skip]
 pub mod settings;
 #[rustfmt::skip]
 pub mod store;
