--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -1,1 +1,4 @@
-//! Tests of ibiscroft-gateway.
+//! Tests of the gateway.
+
+mod catalogues;
+mod settings;
