feat(gateway): close idle caller connections

Cause: a caller that sends nothing held its connection for ever. Change: 60 s without a byte end the connection after the request in flight.

--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -34,6 +34,8 @@
 
 /// Longest time of one call to the key-value service.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time without a byte on a caller's connection; a request in flight goes on.
+const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Observations that may wait for the control thread.
 const OBSERVATION_QUEUE: usize = 4_096;
 /// Commands that may wait for the control thread.
@@ -96,6 +98,7 @@
     let callers = CallerEndpoint::new(Arc::clone(&shared), chain, Arc::clone(&closing));
     let (stop_tx, stop_rx) = oneshot::channel::<()>();
     let server = Server::new_with_acceptor(TcpAcceptor::from_std(caller_listener.into_std()?)?)
+        .idle_timeout(CALLER_IDLE_TIMEOUT)
         .run_with_graceful_shutdown(callers, async { drop(stop_rx.await) }, settings.drain_limit);
     let serving = traffic.spawn(server);
     announce(&settings);
