test(gateway): the whole path with real processes

Cause: the thin path (two gateways, store, backend servers, command line) was only seen by hand. Ruled out: a gateway inside the test's process, which would hide signals and exit codes. Change: a fleet fixture (store and backend servers in the test, gateways as processes, ports from the system) and tests of each answer, of a dead target, of a planned stop with a streaming download, and of generations that only rise.

--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -2,3 +2,5 @@
 
 mod catalogues;
 mod settings;
+mod support;
+mod whole_path;
