--- a/ibiscroft-core/src/quarantine.rs
+++ b/ibiscroft-core/src/quarantine.rs
@@ -1,1 +1,30 @@
 //! Contains requests that crash backend servers.
+//!
+//! A request whose connection is lost and whose target's run ends is a suspect, and so is
+//! each innocent request that ran beside it. Suspects are tried apart from each other, and a
+//! request is refused once losses at two targets have it as their only explanation. An
+//! answer to the same request clears it.
+//!
+//! ```
+//! use ibiscroft_core::Tick;
+//! use ibiscroft_core::ids::{RunId, TargetName};
+//! use ibiscroft_core::quarantine::{Fingerprint, Loss, Quarantine, Standing};
+//!
+//! let mut quarantine = Quarantine::default();
+//! let fingerprint = Fingerprint::new(["register", "GET", "/suppliers?page=-1"]);
+//! let now = Tick::ZERO;
+//! for (target, run) in [("register-1", "r1"), ("register-2", "r2")] {
+//!     let loss = Loss { fingerprint, target: TargetName::new(target), run: RunId::new(run) };
+//!     quarantine.note_lost(now, loss.clone());
+//!     let told = quarantine.note_run_ended(now, &loss.target, &loss.run);
+//!     assert_eq!(told, [loss]);
+//! }
+//! assert!(matches!(quarantine.standing(now, fingerprint), Standing::Refused { .. }));
+//! ```
+
+mod evidence;
+mod fingerprint;
+mod state;
+
+pub use fingerprint::Fingerprint;
+pub use state::{Loss, Place, Quarantine, Standing, Standings};
--- a/ibiscroft-core/src/selection/pool.rs
+++ b/ibiscroft-core/src/selection/pool.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::load::TargetLoad;
 use crate::config::Target;
 use crate::copy_data;
@@ -104,6 +106,25 @@
         &self.cold
     }
 
+    /// Returns the warm candidate at a place that gateways with the same pool agree on.
+    ///
+    /// Requests with the same `seed` and different positions get different candidates while
+    /// there are enough. Used for requests that must not meet, see [`crate::quarantine`].
+    #[must_use]
+    pub fn placed(&self, seed: u64, position: usize) -> Option<usize> {
+        let skipped = position.checked_rem(self.warm.len())?;
+        let rank = |index: &usize| {
+            let name = self.candidates[*index].target.name.as_str();
+            (xxh3_64_with_seed(name.as_bytes(), seed), *index)
+        };
+        let mut bound = None;
+        for _ in 0..=skipped {
+            let ranks = self.warm.iter().map(rank);
+            bound = ranks.filter(|rank| bound.is_none_or(|bound| *rank > bound)).min();
+        }
+        bound.map(|(_, index)| index)
+    }
+
     fn insert_warm(&mut self, index: usize, is_near: bool) {
         self.warm.push(index);
         if is_near {
