feat: open-loop load tool and scenario files

Cause: latency must be measured without hiding stalls, and answers judged byte by byte. Ruled out: pacing by the runtime's timer, which rounds to milliseconds; a thread hands out the planned calls. Change: `ibiscroft-lab load` with a plan drawn from a seed, closed outcomes, JSON and a table; scenarios for the Verband and Vatuwaqa; a reader of the backend servers' counters and journals.

--- a/ibiscroft-lab/src/cli.rs
+++ b/ibiscroft-lab/src/cli.rs
@@ -1,8 +1,10 @@
 //! Command line.
 
+mod load;
 mod serve;
 
 use std::net::SocketAddr;
+use std::process::ExitCode;
 
 use eyre::{Result, bail};
 use gumdrop::Options;
@@ -23,6 +25,8 @@
     Store(serve::StoreArguments),
     #[options(help = "run a stand-in backend server")]
     Backend(serve::BackendArguments),
+    #[options(help = "send calls at a fixed rate")]
+    Load(load::LoadArguments),
 }
 
 /// Runs the subcommand named in the arguments of the process.
@@ -30,13 +34,15 @@
 /// # Errors
 ///
 /// Returns what the subcommand could not do.
-pub async fn run() -> Result<()> {
+pub async fn run() -> Result<ExitCode> {
     let arguments = Arguments::parse_args_default_or_exit();
     match arguments.command {
-        Some(Command::Store(arguments)) => serve::store(arguments).await,
-        Some(Command::Backend(arguments)) => serve::backend(arguments).await,
+        Some(Command::Store(arguments)) => serve::store(arguments).await?,
+        Some(Command::Backend(arguments)) => serve::backend(arguments).await?,
+        Some(Command::Load(arguments)) => load::load(arguments).await?,
         None => bail!("no command given\n\n{}", Arguments::usage()),
     }
+    Ok(ExitCode::SUCCESS)
 }
 
 /// Refuses an address outside 127.0.0.0/8.
--- a/ibiscroft-lab/src/lib.rs
+++ b/ibiscroft-lab/src/lib.rs
@@ -5,5 +5,8 @@
 
 pub mod backend;
 pub mod cli;
+pub mod judge;
+pub mod load;
+pub mod scenario;
 pub mod server;
 pub mod store;
--- a/ibiscroft-lab/src/main.rs
+++ b/ibiscroft-lab/src/main.rs
@@ -1,9 +1,15 @@
 //! Command line of the stand-ins, the load tool and the demo.
 
-use eyre::Result;
+use std::process::ExitCode;
 
 #[tokio::main]
-async fn main() -> Result<()> {
+async fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
-    ibiscroft_lab::cli::run().await
+    match ibiscroft_lab::cli::run().await {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("ibiscroft-lab: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
 }
--- /dev/null
+++ b/ibiscroft-lab/tests/it/load.rs
@@ -0,0 +1,127 @@
+//! The load tool.
+
+use std::time::Duration;
+
+use ibiscroft_lab::backend::{AnswerFaults, Backend, BackendOptions, Control};
+use ibiscroft_lab::load::{CallKind, Load, LoadOptions, LoadReport, Outcome, Plan};
+
+fn options(entry: &str, calls: u64) -> LoadOptions {
+    let entries = vec![entry.parse().unwrap()];
+    let mut options = LoadOptions::new(entries, 1_000.0, Duration::from_secs(60));
+    options.max_calls = calls;
+    options.timeout = Duration::from_millis(300);
+    options
+}
+
+#[test]
+fn a_plan_repeats_with_its_seed_and_keeps_its_rate_and_shares() {
+    let mut options = options("127.0.0.1:1", 100_000);
+    options.duration = Duration::from_secs(10);
+    options.mix = vec![CallKind::get("a", "/a").weight(3.0), CallKind::get("b", "/b").weight(1.0)];
+    let calls: Vec<_> = Plan::new(&options).collect();
+    assert_eq!(calls, Plan::new(&options).collect::<Vec<_>>());
+    assert!((9_500..10_500).contains(&calls.len()), "{} calls", calls.len());
+    let first = calls.iter().filter(|call| call.kind == 0).count();
+    assert!((7_200..7_800).contains(&(first * 10_000 / calls.len())), "{first} of the first");
+}
+
+#[tokio::test]
+async fn options_out_of_bounds_are_refused() {
+    struct Case {
+        name: &'static str,
+        options: LoadOptions,
+        error: &'static str,
+    }
+    let valid = || options("127.0.0.1:1", 10);
+    let cases = [
+        Case {
+            name: "address",
+            options: options("10.0.0.1:80", 10),
+            error: "10.0.0.1:80 is not in 127.0.0.0/8",
+        },
+        Case { name: "IPv6", options: options("[::1]:80", 10), error: "[::1]:80 is not in" },
+        Case { name: "rate", options: LoadOptions { rate: 1e6, ..valid() }, error: "rate is" },
+        Case { name: "no rate", options: LoadOptions { rate: 0.0, ..valid() }, error: "rate is" },
+        Case {
+            name: "duration",
+            options: LoadOptions { duration: Duration::from_secs(601), ..valid() },
+            error: "duration is",
+        },
+        Case {
+            name: "calls",
+            options: LoadOptions { max_calls: 3_000_000, ..valid() },
+            error: "number of calls",
+        },
+        Case { name: "mix", options: LoadOptions { mix: vec![], ..valid() }, error: "no kind" },
+    ];
+    for case in cases {
+        let error = Load::start(case.options).unwrap_err().to_string();
+        assert!(error.contains(case.error), "{}: {error}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn each_fault_has_its_outcome() {
+    struct Case {
+        name: &'static str,
+        faults: AnswerFaults,
+        outcome: Outcome,
+    }
+    let none = AnswerFaults::default;
+    let cases = [
+        Case { name: "none", faults: none(), outcome: Outcome::Answered },
+        Case {
+            name: "truncated",
+            faults: AnswerFaults { truncate_after: Some(10), ..none() },
+            outcome: Outcome::CutOff,
+        },
+        Case {
+            name: "lost",
+            faults: AnswerFaults { lose_answer: true, ..none() },
+            outcome: Outcome::CutOff,
+        },
+        Case {
+            name: "crossed",
+            faults: AnswerFaults { crossed: true, ..none() },
+            outcome: Outcome::WrongBytes,
+        },
+        Case {
+            name: "stalled",
+            faults: AnswerFaults { stall_after: Some(10), ..none() },
+            outcome: Outcome::TimedOut,
+        },
+    ];
+    let backend = Backend::start(BackendOptions::default()).await.unwrap();
+    for case in cases {
+        let faults = AnswerFaults { count: 1, ..case.faults };
+        backend.control(&Control { answer_faults: Some(faults), ..Control::default() });
+        let options = options(&backend.address().to_string(), 1);
+        let records = Load::start(options).unwrap().finish().await.unwrap();
+        assert_eq!(records.calls()[0].outcome, case.outcome, "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn refused_calls_are_told_apart_and_every_call_is_reported() {
+    let options_of_backend = BackendOptions { slots: 1, queue: 0, ..BackendOptions::default() };
+    let backend = Backend::start(options_of_backend).await.unwrap();
+    let mut options = options(&backend.address().to_string(), 50);
+    options.mix = vec![CallKind::get("slow", "/").work_ms(5.0).order()];
+    let records = Load::start(options).unwrap().finish().await.unwrap();
+    let counters = backend.counters();
+    assert_eq!(records.count(Outcome::Answered), counters.ran);
+    assert_eq!(records.count(Outcome::NotRun), counters.shed);
+    assert_eq!(counters.keys_ran as u64, counters.ran);
+    let report = LoadReport::new(&records).unwrap();
+    assert_eq!(report.all.calls, 50);
+    assert_eq!(report.all.outcomes.values().sum::<u64>(), 50);
+}
+
+#[tokio::test]
+async fn an_address_without_a_listener_is_unreached() {
+    let backend = Backend::start(BackendOptions::default()).await.unwrap();
+    let address = backend.address().to_string();
+    backend.stop().await;
+    let records = Load::start(options(&address, 1)).unwrap().finish().await.unwrap();
+    assert_eq!(records.count(Outcome::Unreached), 1);
+}
--- a/ibiscroft-lab/tests/it/main.rs
+++ b/ibiscroft-lab/tests/it/main.rs
@@ -2,6 +2,8 @@
 
 mod backend;
 mod cold_start;
+mod load;
 mod range;
+mod scenarios;
 mod store_api;
 mod store_state;
