fix(gateway): answer a request that its backend server dropped as unknown

Cause: whole_path::each_request_has_its_answer failed in tools/test. The deadline sent on is rounded down to milliseconds, so a backend server may drop the request a little before the gateway gives up; its 504 went to the caller without a problem body. Ruled out: a longer deadline downstream, which would keep work running that nobody waits for. Change: an answer with `x-execution: unknown` becomes answer-timeout; PROTOCOLS.md says when a backend server sends it.

--- a/ibiscroft-gateway/src/backend_client.rs
+++ b/ibiscroft-gateway/src/backend_client.rs
@@ -156,6 +156,10 @@
     if status == StatusCode::SERVICE_UNAVAILABLE && refused {
         return Err(SendError::Shed { draining });
     }
+    if text(&headers, headers::EXECUTION) == Some("unknown") {
+        let detail = "the backend server dropped the request at its deadline";
+        return Err(SendError::Unknown(ErrorKind::AnswerTimeout, detail.to_string()));
+    }
     remove_hop_by_hop(&mut headers);
     let is_empty = res.content_length() == Some(0) || ex.method == Method::HEAD;
     let body = if is_empty { None } else { Some(res) };
