feat: demo of the whole system

Cause: a newcomer must see the promises kept by one command. Ruled out: judging by the gateways' own counters; the table is made from callers' checks and the backend servers' counters and journals. Change: `ibiscroft-lab demo` starts the store, six backend servers and two gateways, kills a server, drains one, takes a zone out and brings it back under load, and ends its children by their ids, on Ctrl-C too.

--- a/ibiscroft-lab/src/cli.rs
+++ b/ibiscroft-lab/src/cli.rs
@@ -1,5 +1,6 @@
 //! Command line.
 
+mod demo;
 mod load;
 mod serve;
 
@@ -8,6 +9,7 @@
 
 use eyre::{Result, bail};
 use gumdrop::Options;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Arguments of `ibiscroft-lab`.
 #[derive(Debug, Options)]
@@ -27,6 +29,8 @@
     Backend(serve::BackendArguments),
     #[options(help = "send calls at a fixed rate")]
     Load(load::LoadArguments),
+    #[options(help = "run the whole system while servers and a zone leave")]
+    Demo(demo::DemoArguments),
 }
 
 /// Runs the subcommand named in the arguments of the process.
@@ -40,11 +44,22 @@
         Some(Command::Store(arguments)) => serve::store(arguments).await?,
         Some(Command::Backend(arguments)) => serve::backend(arguments).await?,
         Some(Command::Load(arguments)) => load::load(arguments).await?,
+        Some(Command::Demo(arguments)) => return demo::demo(arguments).await,
         None => bail!("no command given\n\n{}", Arguments::usage()),
     }
     Ok(ExitCode::SUCCESS)
 }
 
+/// Waits for SIGINT or SIGTERM.
+pub(crate) async fn stop_requested() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        stopped = tokio::signal::ctrl_c() => stopped?,
+    }
+    Ok(())
+}
+
 /// Refuses an address outside 127.0.0.0/8.
 fn check_loopback(address: SocketAddr) -> Result<SocketAddr> {
     if address.is_ipv4() && address.ip().is_loopback() {
--- a/ibiscroft-lab/src/cli/serve.rs
+++ b/ibiscroft-lab/src/cli/serve.rs
@@ -7,9 +7,8 @@
 use eyre::{Result, bail};
 use gumdrop::Options;
 use serde::Serialize;
-use tokio::signal::unix::{SignalKind, signal};
 
-use super::check_loopback;
+use super::{check_loopback, stop_requested};
 use crate::backend::{Backend, BackendOptions, CrashMode, NoiseOptions};
 use crate::store::{Store, StoreOptions};
 
@@ -79,7 +78,7 @@
     };
     let store = Store::start(options).await?;
     print_bound(&Bound { listen: store.address(), admin: store.admin_address() })?;
-    wait_for_stop().await?;
+    stop_requested().await?;
     store.stop().await;
     Ok(())
 }
@@ -109,7 +108,7 @@
     };
     let backend = Backend::start(options).await?;
     print_bound(&Bound { listen: backend.address(), admin: backend.admin_address() })?;
-    wait_for_stop().await?;
+    stop_requested().await?;
     backend.stop().await;
     Ok(())
 }
@@ -125,12 +124,3 @@
     println!("{}", serde_json::to_string(bound)?);
     Ok(())
 }
-
-async fn wait_for_stop() -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        stopped = tokio::signal::ctrl_c() => stopped?,
-    }
-    Ok(())
-}
--- /dev/null
+++ b/ibiscroft-lab/src/demo/verdict.rs
@@ -0,0 +1,172 @@
+//! The closing table, judged by callers and backend servers.
+
+use std::fmt;
+use std::time::Duration;
+
+use eyre::Result;
+
+use super::added_time::AddedTime;
+use super::fleet::Fleet;
+use super::steps::{self, IN_FORCE, Steps};
+use crate::judge::Executed;
+use crate::load::{LoadReport, Outcome, Records};
+
+/// Smallest share of calls that must be answered, in percent.
+const MIN_ANSWERED_PERCENT: u64 = 95;
+
+/// What came of the demo.
+#[derive(Clone, Debug)]
+pub(super) struct Verdict {
+    report: LoadReport,
+    counts: Vec<(Outcome, u64)>,
+    orders_ran: usize,
+    doubled: usize,
+    ran_though_not_run: usize,
+    sent_to_zone_out: u64,
+    drain_received: u64,
+    drain_last_after: Duration,
+    received_after_return: u64,
+    added: AddedTime,
+}
+
+impl Verdict {
+    /// Asks the backend servers and reads their journals.
+    pub(super) async fn reach(fleet: &Fleet, records: &Records, steps: &Steps) -> Result<Self> {
+        let journals: Vec<_> = fleet.backends.iter().map(|backend| &backend.journal).collect();
+        let executed = Executed::read(&journals)?;
+        let counts = Outcome::ALL.map(|outcome| (outcome, records.count(outcome))).to_vec();
+        let (drain_received, drain_last_after) = drained(fleet, &steps.killed).await?;
+        let returned = steps::received_in(fleet, steps::out_zone()).await?;
+        Ok(Self {
+            report: LoadReport::new(records)?,
+            counts,
+            orders_ran: executed.keys(),
+            doubled: executed.doubled().len(),
+            ran_though_not_run: executed.ran(&records.names(Outcome::NotRun)).len(),
+            sent_to_zone_out: steps.received_while_out,
+            drain_received,
+            drain_last_after,
+            received_after_return: returned - steps.received_before_return,
+            added: added_time(fleet).await?,
+        })
+    }
+
+    /// Returns whether nothing was doubled, cut off or sent wrongly.
+    pub(super) fn is_success(&self) -> bool {
+        self.rows().iter().all(|row| row.kept)
+    }
+
+    fn count(&self, wanted: Outcome) -> u64 {
+        self.counts.iter().find(|(outcome, _)| *outcome == wanted).map_or(0, |(_, count)| *count)
+    }
+
+    fn rows(&self) -> Vec<Row> {
+        let calls = self.report.all.calls;
+        let answered = self.count(Outcome::Answered);
+        let drain_kept = self.drain_last_after <= IN_FORCE;
+        let drain_last = self.drain_last_after.as_millis();
+        let latency = &self.report.all.latency;
+        vec![
+            Row::shown("calls", calls),
+            Row::judged("answered", answered, answered * 100 >= calls * MIN_ANSWERED_PERCENT),
+            Row::shown("refused as not run", self.count(Outcome::NotRun)),
+            Row::none("told not run but ran", self.ran_though_not_run as u64),
+            Row::shown("outcome unknown", self.count(Outcome::Unknown)),
+            Row::shown("orders that ran", self.orders_ran),
+            Row::none("doubled", self.doubled as u64),
+            Row::none("cut off", self.count(Outcome::CutOff)),
+            Row::none("wrong bytes", self.count(Outcome::WrongBytes)),
+            Row::none("timed out", self.count(Outcome::TimedOut)),
+            Row::none("unreached", self.count(Outcome::Unreached)),
+            Row::none("unexpected answers", self.count(Outcome::Unexpected)),
+            Row::none("not sent by the load tool", self.count(Outcome::NotSent)),
+            Row::none("sent to the zone out, after 3 s", self.sent_to_zone_out),
+            Row::judged(
+                "sent to the draining server",
+                format!("{}, the last after {drain_last} ms", self.drain_received),
+                drain_kept,
+            ),
+            Row::judged(
+                "received by the zone after its return",
+                self.received_after_return,
+                self.received_after_return > 0,
+            ),
+            Row::shown(
+                "p50 / p99 of callers",
+                format!("{:.2} / {:.2} ms", ms(latency.p50_us), ms(latency.p99_us)),
+            ),
+            Row::shown(
+                "p50 / p99 added by the gateways",
+                format!("{} / {}", self.bound(0.5), self.bound(0.99)),
+            ),
+        ]
+    }
+
+    fn bound(&self, quantile: f64) -> String {
+        match self.added.bound_ms(quantile) {
+            Some(bound) => format!("up to {bound} ms"),
+            None => "not measured".to_string(),
+        }
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for row in self.rows() {
+            let mark = if row.kept { "" } else { "   FAILED" };
+            writeln!(f, "{:<38} {}{mark}", row.name, row.value)?;
+        }
+        f.write_str(if self.is_success() { "every promise kept" } else { "a promise was broken" })
+    }
+}
+
+/// One line of the table.
+#[derive(Clone, Debug)]
+struct Row {
+    name: &'static str,
+    value: String,
+    kept: bool,
+}
+
+impl Row {
+    fn judged(name: &'static str, value: impl fmt::Display, kept: bool) -> Self {
+        Self { name, value: value.to_string(), kept }
+    }
+
+    fn shown(name: &'static str, value: impl fmt::Display) -> Self {
+        Self::judged(name, value, true)
+    }
+
+    /// A count that must be zero.
+    fn none(name: &'static str, count: u64) -> Self {
+        Self::judged(name, count, count == 0)
+    }
+}
+
+/// Returns what the draining server received after its announcement.
+async fn drained(fleet: &Fleet, killed: &str) -> Result<(u64, Duration)> {
+    let mut received = 0;
+    let mut last_after = Duration::ZERO;
+    for backend in &fleet.backends {
+        if backend.process.name() == killed {
+            continue;
+        }
+        let counters = backend.admin.counters().await?;
+        received += counters.received_while_draining;
+        last_after = last_after.max(Duration::from_millis(counters.last_while_draining_ms));
+    }
+    Ok((received, last_after))
+}
+
+async fn added_time(fleet: &Fleet) -> Result<AddedTime> {
+    let mut added = AddedTime::default();
+    for (_, operators) in fleet.operators() {
+        let response = reqwest::get(format!("http://{operators}/metrics")).await?;
+        added.add(&response.text().await?);
+    }
+    Ok(added)
+}
+
+fn ms(micros: u64) -> f64 {
+    micros as f64 / 1_000.0
+}
--- a/ibiscroft-lab/src/lib.rs
+++ b/ibiscroft-lab/src/lib.rs
@@ -5,8 +5,10 @@
 
 pub mod backend;
 pub mod cli;
+pub mod demo;
 pub mod judge;
 pub mod load;
+pub mod process;
 pub mod scenario;
 pub mod server;
 pub mod store;
--- a/ibiscroft-lab/tests/it/main.rs
+++ b/ibiscroft-lab/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the stand-ins and the tools.
 
+mod added_time;
 mod backend;
 mod cold_start;
 mod load;
