fix(gateway): let callers of refused requests see their answer

Cause: whole_path::each_request_has_its_answer, case 'body too large': the gateway answered 413 and closed while the caller still sent, so the caller got a broken pipe in place of the answer. Change: the rest of a refused request's body is read first, up to 16 MB and 2 s; not with Expect, where the caller waits for the answer before it sends.

--- a/ibiscroft-gateway/src/filters/identify.rs
+++ b/ibiscroft-gateway/src/filters/identify.rs
@@ -19,6 +19,10 @@
 pub(crate) const MAX_BODY_BYTES: usize = 1 << 20;
 /// Largest sum of header names and values, in bytes.
 const MAX_HEADER_BYTES: usize = 32 << 10;
+/// Bytes of a refused request's body that are read, so that its caller sees the answer.
+const MAX_DISCARDED_BYTES: usize = 16 << 20;
+/// Longest time to read the body of a refused request.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest time for a request body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Calls on a path at the most.
@@ -47,7 +51,7 @@
 ///
 /// Returns why the request is refused; nothing of it was sent on.
 pub(crate) async fn identify(
-    mut req: Request,
+    req: &mut Request,
     request_id: RequestId,
     snapshot: &Snapshot,
     received: Tick,
@@ -62,7 +66,7 @@
     let deadline = received + wait(req.headers(), &service)?;
     let path_and_query =
         req.uri().path_and_query().map_or(path, |found| found.as_str().to_string());
-    let body = read_body(&mut req).await?;
+    let body = read_body(req).await?;
     let mut headers = std::mem::take(req.headers_mut());
     remove_hop_by_hop(&mut headers);
     Ok(Exchange {
@@ -211,6 +215,26 @@
     }
 }
 
+/// Reads what is left of a refused request's body; a caller that is cut off while it still sends
+/// does not see the answer.
+pub(crate) async fn discard_body(req: &mut Request) {
+    if req.headers().contains_key(header::EXPECT) {
+        return;
+    }
+    let body = req.take_body().into_bytes_stream();
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard(body)).await;
+}
+
+async fn discard(mut body: impl futures_util::Stream<Item = std::io::Result<Bytes>> + Unpin) {
+    let mut discarded = 0;
+    while let Some(Ok(piece)) = body.next().await {
+        discarded += piece.len();
+        if discarded > MAX_DISCARDED_BYTES {
+            return;
+        }
+    }
+}
+
 async fn collect_body(
     mut stream: impl futures_util::Stream<Item = std::io::Result<Bytes>> + Unpin,
     capacity: usize,
@@ -220,6 +244,7 @@
         let piece =
             piece.map_err(|error| Failure::new(ErrorKind::BadRequest, format!("body: {error}")))?;
         if buf.len() + piece.len() > MAX_BODY_BYTES {
+            discard(stream).await;
             return Err(body_too_large());
         }
         buf.extend_from_slice(&piece);
--- a/ibiscroft-gateway/src/server.rs
+++ b/ibiscroft-gateway/src/server.rs
@@ -10,7 +10,7 @@
 
 use crate::exchange::{Exchange, Failure};
 use crate::filters::Handler;
-use crate::filters::identify::{identify, request_id};
+use crate::filters::identify::{discard_body, identify, request_id};
 use crate::problem::{answer_response, failure_response};
 use crate::shared::Shared;
 
@@ -29,11 +29,14 @@
         Self { shared, chain, closing, next_request: AtomicU64::new(0) }
     }
 
-    async fn serve(&self, req: Request, id: RequestId, received: Tick) -> Response {
+    async fn serve(&self, mut req: Request, id: RequestId, received: Tick) -> Response {
         let view = self.shared.view();
-        match identify(req, id.clone(), &view, received).await {
+        match identify(&mut req, id.clone(), &view, received).await {
             Ok(mut ex) => self.serve_exchange(&mut ex).await,
-            Err(failure) => self.fail(&failure, &id),
+            Err(failure) => {
+                discard_body(&mut req).await;
+                self.fail(&failure, &id)
+            }
         }
     }
 
