feat(lab): control-cost measures what control costs each gateway

Cause: docs/CAPACITY.md needs slopes. Change: a subcommand that runs a fleet without traffic at each pair of sizes.

--- a/ibiscroft-lab/src/cli.rs
+++ b/ibiscroft-lab/src/cli.rs
@@ -1,5 +1,6 @@
 //! Command line.
 
+mod control_cost;
 mod serve;
 
 use std::net::SocketAddr;
@@ -23,6 +24,8 @@
     Store(serve::StoreArguments),
     #[options(help = "run a stand-in backend server")]
     Backend(serve::BackendArguments),
+    #[options(help = "measure what control costs each gateway")]
+    ControlCost(control_cost::ControlCostArguments),
 }
 
 /// Runs the subcommand named in the arguments of the process.
@@ -35,6 +38,7 @@
     match arguments.command {
         Some(Command::Store(arguments)) => serve::store(arguments).await,
         Some(Command::Backend(arguments)) => serve::backend(arguments).await,
+        Some(Command::ControlCost(arguments)) => control_cost::run(arguments).await,
         None => bail!("no command given\n\n{}", Arguments::usage()),
     }
 }
--- /dev/null
+++ b/ibiscroft-lab/src/control_cost/usage.rs
@@ -0,0 +1,72 @@
+//! What one gateway process has used so far.
+
+use std::collections::HashMap;
+
+use eyre::{Result, WrapErr, eyre};
+
+/// Clock ticks a second in `/proc`.
+const TICKS_PER_SECOND: f64 = 100.0;
+/// Bytes of a memory page.
+const PAGE_KB: f64 = 4.0;
+
+/// Use of one process since its start.
+#[derive(Clone, Debug)]
+pub(super) struct Usage {
+    pub(super) control_seconds: f64,
+    pub(super) resident_kb: f64,
+    pub(super) peer_sent_bytes: f64,
+    pub(super) peer_received_bytes: f64,
+}
+
+impl Usage {
+    /// Reads the use of process `pid`, whose metrics are `metrics`.
+    pub(super) fn read(pid: u32, metrics: &str) -> Result<Self> {
+        let metrics = parse_metrics(metrics);
+        let metric = |name: &str| metrics.get(name).copied().unwrap_or(0.0);
+        Ok(Self {
+            control_seconds: main_thread_seconds(pid)?,
+            resident_kb: resident_kb(pid)?,
+            peer_sent_bytes: metric("ibiscroft_peer_sent_bytes_total"),
+            peer_received_bytes: metric("ibiscroft_peer_received_bytes_total"),
+        })
+    }
+}
+
+/// Returns the processor time of the main thread, which is a gateway's control thread.
+fn main_thread_seconds(pid: u32) -> Result<f64> {
+    let path = format!("/proc/{pid}/task/{pid}/stat");
+    let stat = std::fs::read_to_string(&path).wrap_err(path)?;
+    let fields: Vec<&str> =
+        stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |index: usize| -> Result<f64> {
+        fields
+            .get(index)
+            .and_then(|text| text.parse().ok())
+            .ok_or_else(|| eyre!("field {index} of the process state is missing"))
+    };
+    Ok((ticks(11)? + ticks(12)?) / TICKS_PER_SECOND)
+}
+
+fn resident_kb(pid: u32) -> Result<f64> {
+    let path = format!("/proc/{pid}/statm");
+    let statm = std::fs::read_to_string(&path).wrap_err(path)?;
+    let pages: f64 = statm
+        .split_whitespace()
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .ok_or_else(|| eyre!("resident size is missing"))?;
+    Ok(pages * PAGE_KB)
+}
+
+fn parse_metrics(text: &str) -> HashMap<&str, f64> {
+    let mut metrics = HashMap::new();
+    for line in text.lines() {
+        let Some((name, value)) = line.rsplit_once(' ') else {
+            continue;
+        };
+        if let Ok(value) = value.parse() {
+            metrics.insert(name, value);
+        }
+    }
+    metrics
+}
--- a/ibiscroft-lab/src/lib.rs
+++ b/ibiscroft-lab/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod backend;
 pub mod cli;
+pub mod control_cost;
 pub mod server;
 pub mod store;
