test: selection, budgets and admission against oracles

Cause: the first forms were unproved. Change: a line that has stood for longer than the allowed wait is shortened; a request that every target refused waits again; subsets are ranked by the target; tests against oracles, and a small simulation of one service in virtual time. Each rule was broken once and its test seen failing: burst and interval of the bucket, cap and cost of the retry budget, retries at every layer, unlimited moves, no early refusal, line never shortened, concurrency never lowered or raised, queues unbounded, newest first, newcomers overtaking, requeue behind the others, leaving or tried targets selected, many trials after a backoff.

--- a/ibiscroft-core/src/admission/queue.rs
+++ b/ibiscroft-core/src/admission/queue.rs
@@ -12,6 +12,8 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Longest time after which a refused caller is asked to come back.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
+/// Part of the allowed wait that is left while a line has stood for longer than that wait.
+const STANDING_DIVISOR: u32 = 5;
 /// Requests sent at once for each patient one among them.
 const PATIENT_SHARE: u32 = 4;
 
@@ -61,6 +63,8 @@
     departures: Departures,
     queue: VecDeque<Waiting<W>>,
     patient: VecDeque<Waiting<W>>,
+    /// Since when `queue` was never empty.
+    standing_since: Tick,
 }
 
 impl<W> Admission<W> {
@@ -74,6 +78,7 @@
             departures: Departures::default(),
             queue: VecDeque::new(),
             patient: VecDeque::new(),
+            standing_since: Tick::ZERO,
         }
     }
 
@@ -119,6 +124,19 @@
         }
     }
 
+    /// Decides on a request that each target refused, after its [`Admission::release`].
+    ///
+    /// It waits ahead of the others until `until`, the end of its first wait, and is refused
+    /// when that has passed. `until` is also the bound of all its waits together.
+    pub fn requeue(&mut self, now: Tick, until: Tick, waiter: W) -> Arrival<W> {
+        let wait = self.departures.expected(now, 1);
+        if now + wait >= until {
+            return refused(waiter, self.departures.expected(now, self.queue.len() + 1));
+        }
+        self.queue.push_front(Waiting { until, waiter });
+        Arrival::Waits
+    }
+
     /// Returns a waiting request that may be sent or waited too long.
     pub fn next(&mut self, limits: &Limits, now: Tick) -> Next<W> {
         if let Some(expired) = pop_expired(&mut self.queue, now) {
@@ -154,7 +172,7 @@
             return Arrival::Run(waiter);
         }
         let wait = self.departures.expected(now, self.queue.len() + 1);
-        let allowed = limits.queue_wait.min(deadline.since(now));
+        let allowed = self.allowed_wait(limits, now).min(deadline.since(now));
         if self.queue.len() >= limits.queue as usize || wait > allowed {
             return refused(waiter, wait);
         }
@@ -162,6 +180,15 @@
         Arrival::Waits
     }
 
+    /// A burst may fill the line; one that never empties only adds its length to each wait.
+    fn allowed_wait(&mut self, limits: &Limits, now: Tick) -> Duration {
+        if self.queue.is_empty() {
+            self.standing_since = now;
+        }
+        let is_standing = now.since(self.standing_since) > limits.queue_wait;
+        if is_standing { limits.queue_wait / STANDING_DIVISOR } else { limits.queue_wait }
+    }
+
     fn arrive_patient(
         &mut self,
         limits: &Limits,
--- a/ibiscroft-core/src/selection.rs
+++ b/ibiscroft-core/src/selection.rs
@@ -50,7 +50,7 @@
 pub use baseline::{MetricWeighted, Random, ReportedTwoChoices, RoundRobin, smoothed_metric};
 pub use load::{InFlight, LoadTable, Report, TargetLoad};
 pub use pool::{Candidate, Eligibility, Pool};
-pub use subset::{subset, subset_size};
+pub use subset::subset;
 pub use tried::{MAX_MOVES, Tried};
 pub use two_choices::TwoChoices;
 
--- a/ibiscroft-core/src/selection/subset.rs
+++ b/ibiscroft-core/src/selection/subset.rs
@@ -1,62 +1,68 @@
 //! The targets that one gateway keeps connections to.
 
 use crate::config::Target;
-use crate::ids::{InstanceName, ServiceName, ZoneName};
+use crate::ids::InstanceName;
 use crate::rendezvous;
 
-/// Fewest targets a gateway keeps in a subset of a service.
-const MIN_SUBSET: usize = 12;
+/// Fewest targets of a service that a gateway uses.
+const MIN_TARGETS: usize = 4;
 
-/// Returns how many of `targets` one gateway uses.
+/// Returns the indexes of the targets that `gateway` uses, in ascending order.
 ///
-/// All of them while `gateways` gateways with `per_gateway` connections each stay within
-/// `per_target` connections at a target.
+/// Each target ranks the gateways of the `roster` and is used by as many of the first as it
+/// accepts with `connections` connections each, so that its limit holds. A change of the
+/// roster or of the targets moves as few members as possible. A gateway that no target ranks
+/// high enough uses a few targets all the same.
 ///
 /// ```
-/// use ibiscroft_core::selection::subset_size;
+/// use ibiscroft_core::ids::InstanceName;
+/// use ibiscroft_core::selection::subset;
 ///
-/// assert_eq!(subset_size(28, 18, 200, 8), 28);
-/// assert_eq!(subset_size(890, 100, 200, 8), 222);
+/// let roster = [InstanceName::new("gw-1"), InstanceName::new("gw-2")];
+/// assert!(subset(&roster[0], &roster, &[], 8).is_empty());
 /// ```
 #[must_use]
-pub fn subset_size(targets: usize, gateways: usize, per_target: u32, per_gateway: u32) -> usize {
-    let wanted = gateways.max(1) * per_gateway.max(1) as usize;
-    let allowed = targets * per_target as usize / wanted;
-    allowed.max(MIN_SUBSET).min(targets)
-}
-
-/// Returns the indexes of about `size` targets that `gateway` uses, in ascending order.
-///
-/// Each availability zone keeps its share, at least one target, so that the subset outlives
-/// the departure of a zone. A change of the targets moves as few members as possible.
-#[must_use]
 pub fn subset(
-    service: &ServiceName,
     gateway: &InstanceName,
+    roster: &[InstanceName],
     targets: &[Target],
-    size: usize,
+    connections: u32,
 ) -> Vec<usize> {
-    if size >= targets.len() {
-        return (0..targets.len()).collect();
+    let mut chosen = Vec::with_capacity(targets.len());
+    for (index, target) in targets.iter().enumerate() {
+        if is_user(gateway, roster, target, connections) {
+            chosen.push(index);
+        }
     }
-    let key = format!("{service}/{gateway}");
-    let mut chosen = Vec::with_capacity(size);
-    for zone in zones(targets) {
-        let mut members: Vec<usize> =
-            (0..targets.len()).filter(|index| targets[*index].zone == *zone).collect();
-        let share = (members.len() * size).div_ceil(targets.len());
-        members.sort_by_key(|index| {
-            std::cmp::Reverse(rendezvous::weight(&key, targets[*index].name.as_str()))
-        });
-        chosen.extend(members.into_iter().take(share));
+    if chosen.len() >= MIN_TARGETS.min(targets.len()) {
+        return chosen;
+    }
+    first_choices(gateway, targets)
+}
+
+/// Returns whether `gateway` is among the gateways that `target` accepts.
+fn is_user(
+    gateway: &InstanceName,
+    roster: &[InstanceName],
+    target: &Target,
+    connections: u32,
+) -> bool {
+    let accepted = (target.connections.get() / connections.max(1)) as usize;
+    if roster.len() <= accepted {
+        return true;
     }
-    chosen.sort_unstable();
-    chosen
+    let rank = |name: &InstanceName| rendezvous::weight(target.name.as_str(), name.as_str());
+    let own = rank(gateway);
+    roster.iter().filter(|other| rank(other) > own).count() < accepted
 }
 
-fn zones(targets: &[Target]) -> Vec<&ZoneName> {
-    let mut zones: Vec<&ZoneName> = targets.iter().map(|target| &target.zone).collect();
-    zones.sort_unstable();
-    zones.dedup();
-    zones
+/// Returns the few targets that `gateway` ranks highest.
+fn first_choices(gateway: &InstanceName, targets: &[Target]) -> Vec<usize> {
+    let mut all: Vec<usize> = (0..targets.len()).collect();
+    all.sort_by_key(|index| {
+        std::cmp::Reverse(rendezvous::weight(gateway.as_str(), targets[*index].name.as_str()))
+    });
+    all.truncate(MIN_TARGETS);
+    all.sort_unstable();
+    all
 }
--- a/ibiscroft-core/tests/it/admission.rs
+++ b/ibiscroft-core/tests/it/admission.rs
@@ -1,1 +1,212 @@
 //! Tests of `admission`.
+
+use std::collections::BTreeMap;
+
+use ibiscroft_core::Tick;
+use ibiscroft_core::admission::{Admission, Arrival, Limits, Next, Outcome, Patience, Ticket};
+use proptest::prelude::*;
+
+use crate::support::{at, fuzz, ms};
+
+const LIMITS: Limits = Limits { slots: 2, queue: 3, patient_queue: 2, queue_wait: ms_const(100) };
+
+const fn ms_const(millis: u64) -> std::time::Duration {
+    std::time::Duration::from_millis(millis)
+}
+
+fn interactive(deadline: u64) -> Ticket {
+    Ticket { deadline: at(deadline), patience: Patience::Interactive }
+}
+
+fn patient(deadline: u64) -> Ticket {
+    Ticket { deadline: at(deadline), patience: Patience::Patient }
+}
+
+#[test]
+fn patient_requests_wait_for_room_that_nobody_needs() {
+    let mut admission = Admission::new();
+    let hours = 10 * 3_600_000;
+    assert_eq!(admission.arrive(&LIMITS, at(0), patient(hours), "p1"), Arrival::Run("p1"));
+    assert_eq!(admission.arrive(&LIMITS, at(0), patient(hours), "p2"), Arrival::Waits);
+    assert_eq!(admission.arrive(&LIMITS, at(0), interactive(500), "i1"), Arrival::Run("i1"));
+    assert_eq!(admission.arrive(&LIMITS, at(0), interactive(500), "i2"), Arrival::Waits);
+    admission.release(&LIMITS, at(5), Patience::Patient, Outcome::Answered);
+    assert_eq!(admission.next(&LIMITS, at(5)), Next::Run("i2"));
+    assert_eq!(admission.next(&LIMITS, at(5)), Next::None);
+    admission.release(&LIMITS, at(10), Patience::Interactive, Outcome::Answered);
+    assert_eq!(admission.next(&LIMITS, at(hours - 1)), Next::Run("p2"));
+}
+
+#[test]
+fn a_request_that_would_wait_past_its_deadline_is_refused_at_once() {
+    let limits = Limits { slots: 1, queue: 100, ..LIMITS };
+    let mut admission = Admission::new();
+    let mut now = 0;
+    for index in 0..20 {
+        assert_eq!(
+            admission.arrive(&limits, at(now), interactive(9_999), index),
+            Arrival::Run(index)
+        );
+        now += 20;
+        admission.release(&limits, at(now), Patience::Interactive, Outcome::Answered);
+    }
+    assert_eq!(admission.arrive(&limits, at(now), interactive(9_999), 20), Arrival::Run(20));
+    let short = admission.arrive(&limits, at(now), interactive(now + 10), 21);
+    let Arrival::Refused { waiter: 21, retry_after } = short else {
+        panic!("{short:?}");
+    };
+    assert_eq!(retry_after, ms(50));
+    assert_eq!(admission.arrive(&limits, at(now), interactive(now + 50), 22), Arrival::Waits);
+}
+
+#[test]
+fn a_newcomer_does_not_overtake_the_line() {
+    let limits = Limits { slots: 1, ..LIMITS };
+    let mut admission = Admission::new();
+    assert_eq!(admission.arrive(&limits, at(0), interactive(500), 1), Arrival::Run(1));
+    assert_eq!(admission.arrive(&limits, at(0), interactive(500), 2), Arrival::Waits);
+    admission.release(&limits, at(1), Patience::Interactive, Outcome::Answered);
+    assert_eq!(admission.arrive(&limits, at(1), interactive(500), 3), Arrival::Waits);
+    assert_eq!(admission.next(&limits, at(1)), Next::Run(2));
+    assert_eq!(admission.next(&limits, at(1)), Next::None);
+}
+
+#[test]
+fn a_request_that_every_target_refused_waits_ahead_of_the_others() {
+    let limits = Limits { slots: 1, ..LIMITS };
+    let mut admission = Admission::new();
+    assert_eq!(admission.arrive(&limits, at(0), interactive(500), 1), Arrival::Run(1));
+    assert_eq!(admission.arrive(&limits, at(0), interactive(500), 2), Arrival::Waits);
+    admission.release(&limits, at(4), Patience::Interactive, Outcome::Shed);
+    assert_eq!(admission.requeue(at(4), at(100), 1), Arrival::Waits);
+    assert_eq!(admission.next(&limits, at(4)), Next::Run(1));
+    admission.release(&limits, at(100), Patience::Interactive, Outcome::Shed);
+    let late = admission.requeue(at(100), at(100), 1);
+    assert!(matches!(late, Arrival::Refused { waiter: 1, .. }), "{late:?}");
+}
+
+#[test]
+fn the_concurrency_follows_the_outcomes() {
+    struct Case {
+        outcome: Outcome,
+        expected: u32,
+    }
+    let limits = Limits { slots: 60, ..LIMITS };
+    let cases = [
+        Case { outcome: Outcome::Answered, expected: 60 },
+        Case { outcome: Outcome::Failed, expected: 60 },
+        Case { outcome: Outcome::Congested, expected: 1 },
+        Case { outcome: Outcome::Shed, expected: 1 },
+        Case { outcome: Outcome::TimedOut, expected: 1 },
+    ];
+    for case in cases {
+        let mut admission = Admission::new();
+        for _ in 0..200 {
+            let arrived = admission.arrive(&limits, at(0), interactive(500), ());
+            assert_eq!(arrived, Arrival::Run(()));
+            admission.release(&limits, at(0), Patience::Interactive, case.outcome);
+        }
+        assert_eq!(admission.concurrency(&limits), case.expected, "{:?}", case.outcome);
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive { patience: Patience, wait: u64 },
+    Release { outcome: Outcome },
+    Advance { millis: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let patience = prop_oneof![4 => Just(Patience::Interactive), 1 => Just(Patience::Patient)];
+    let outcome = prop_oneof![
+        5 => Just(Outcome::Answered),
+        1 => Just(Outcome::Shed),
+        1 => Just(Outcome::TimedOut),
+    ];
+    prop_oneof![
+        5 => (patience, 1_u64..400).prop_map(|(patience, wait)| Step::Arrive { patience, wait }),
+        4 => outcome.prop_map(|outcome| Step::Release { outcome }),
+        2 => (1_u64..150).prop_map(|millis| Step::Advance { millis }),
+    ]
+}
+
+/// Where each request is, kept apart from the code under test.
+#[derive(Debug, Default)]
+struct Oracle {
+    running: Vec<Patience>,
+    waiting: BTreeMap<usize, (Ticket, Tick)>,
+}
+
+impl Oracle {
+    fn waiting(&self, patience: Patience) -> usize {
+        self.waiting.values().filter(|(ticket, _)| ticket.patience == patience).count()
+    }
+
+    fn start(&mut self, id: usize) {
+        let (ticket, _) = self.waiting.remove(&id).expect("a request runs once");
+        let is_passed = self
+            .waiting
+            .iter()
+            .any(|(other, (waiting, _))| *other < id && waiting.patience == ticket.patience);
+        assert!(!is_passed, "requests start in the order of arrival");
+        self.running.push(ticket.patience);
+    }
+
+    fn expire(&mut self, id: usize, now: Tick) {
+        let (ticket, since) = self.waiting.remove(&id).expect("a request is refused once");
+        let waited = now.since(since);
+        assert!(now >= ticket.deadline || waited >= LIMITS.queue_wait / 5, "refused too early");
+    }
+}
+
+proptest! {
+    #![proptest_config(fuzz(400))]
+
+    #[test]
+    fn waiting_is_bounded_and_no_request_is_lost(steps in prop::collection::vec(step(), 1..200)) {
+        let mut admission = Admission::new();
+        let mut oracle = Oracle::default();
+        let mut now = at(0);
+        for (id, step) in steps.into_iter().enumerate() {
+            match step {
+                Step::Arrive { patience, wait } => {
+                    let ticket = Ticket { deadline: now + ms(wait), patience };
+                    match admission.arrive(&LIMITS, now, ticket, id) {
+                        Arrival::Run(_) => oracle.running.push(patience),
+                        Arrival::Waits => {
+                            oracle.waiting.insert(id, (ticket, now));
+                        }
+                        Arrival::Refused { waiter, .. } => prop_assert_eq!(waiter, id),
+                    }
+                }
+                Step::Release { outcome } => {
+                    if let Some(patience) = oracle.running.pop() {
+                        admission.release(&LIMITS, now, patience, outcome);
+                    }
+                }
+                Step::Advance { millis } => now = now + ms(millis),
+            }
+            loop {
+                match admission.next(&LIMITS, now) {
+                    Next::Run(id) => oracle.start(id),
+                    Next::Expired(id) => oracle.expire(id, now),
+                    Next::None => break,
+                }
+            }
+            prop_assert_eq!(admission.running() as usize, oracle.running.len());
+            prop_assert_eq!(admission.waiting(), oracle.waiting(Patience::Interactive));
+            prop_assert_eq!(admission.waiting_patient(), oracle.waiting(Patience::Patient));
+            prop_assert!(admission.running() <= LIMITS.slots);
+            prop_assert!(admission.waiting() <= LIMITS.queue as usize);
+            prop_assert!(admission.waiting_patient() <= LIMITS.patient_queue as usize);
+            let is_idle = oracle.running.is_empty();
+            prop_assert!(!is_idle || oracle.waiting.is_empty(), "idle while requests wait");
+        }
+        now = now + ms(1_000);
+        while let Next::Expired(id) = admission.next(&LIMITS, now) {
+            oracle.expire(id, now);
+        }
+        prop_assert!(oracle.waiting.is_empty(), "nobody waits past the deadline");
+    }
+}
