--- a/ibiscroft-lab/src/cli.rs
+++ b/ibiscroft-lab/src/cli.rs
@@ -1,12 +1,16 @@
 //! Command line.
 
 mod control_cost;
+mod demo;
+mod load;
 mod serve;
 
 use std::net::SocketAddr;
+use std::process::ExitCode;
 
 use eyre::{Result, bail};
 use gumdrop::Options;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Arguments of `ibiscroft-lab`.
 #[derive(Debug, Options)]
@@ -26,6 +30,10 @@
     Backend(serve::BackendArguments),
     #[options(help = "measure what control costs each gateway")]
     ControlCost(control_cost::ControlCostArguments),
+    #[options(help = "send calls at a fixed rate")]
+    Load(load::LoadArguments),
+    #[options(help = "run the whole system while servers and a zone leave")]
+    Demo(demo::DemoArguments),
 }
 
 /// Runs the subcommand named in the arguments of the process.
@@ -33,14 +41,27 @@
 /// # Errors
 ///
 /// Returns what the subcommand could not do.
-pub async fn run() -> Result<()> {
+pub async fn run() -> Result<ExitCode> {
     let arguments = Arguments::parse_args_default_or_exit();
     match arguments.command {
-        Some(Command::Store(arguments)) => serve::store(arguments).await,
-        Some(Command::Backend(arguments)) => serve::backend(arguments).await,
-        Some(Command::ControlCost(arguments)) => control_cost::run(arguments).await,
+        Some(Command::Store(arguments)) => serve::store(arguments).await?,
+        Some(Command::Backend(arguments)) => serve::backend(arguments).await?,
+        Some(Command::Load(arguments)) => load::load(arguments).await?,
+        Some(Command::Demo(arguments)) => return demo::demo(arguments).await,
+        Some(Command::ControlCost(arguments)) => control_cost::run(arguments).await?,
         None => bail!("no command given\n\n{}", Arguments::usage()),
     }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Waits for SIGINT or SIGTERM.
+pub(crate) async fn stop_requested() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        stopped = tokio::signal::ctrl_c() => stopped?,
+    }
+    Ok(())
 }
 
 /// Refuses an address outside 127.0.0.0/8.
--- a/ibiscroft-lab/src/control_cost.rs
+++ b/ibiscroft-lab/src/control_cost.rs
@@ -43,7 +43,7 @@
     pub peer_received_bytes: f64,
     /// Calls to the store by the whole fleet, a second.
     pub store_calls: f64,
-    /// Writes and leases among them, a second.
+    /// Writes among them, leases included, a second.
     pub store_writes: f64,
 }
 
@@ -79,8 +79,6 @@
     };
     let resident: f64 = after.iter().map(|usage| usage.resident_kb).sum();
     let rate = |after: u64, before: u64| (after - before) as f64 / seconds;
-    let writes_after = counters_after.writes() + counters_after.lease;
-    let writes_before = counters_before.writes() + counters_before.lease;
     Ok(ControlCost {
         gateways,
         targets,
@@ -89,6 +87,6 @@
         peer_sent_bytes: mean(|usage| usage.peer_sent_bytes),
         peer_received_bytes: mean(|usage| usage.peer_received_bytes),
         store_calls: rate(counters_after.total(), counters_before.total()),
-        store_writes: rate(writes_after, writes_before),
+        store_writes: rate(counters_after.writes(), counters_before.writes()),
     })
 }
