feat(core): at-most-once claims in pages of the store

Cause: orders must run at most once although store answers are lost, gateways freeze or die between claim and send, and callers resend through other gateways.

Ruled out: leases per order (a write each, and a lapsed lease must not free a key); takeover of expired claims (a frozen holder may still send); keys without a time (they can't be refused once their claim is forgotten); one page per gateway (a resend would read all of them).

Change: ClaimBook, one page per 10 s slot and key shard, written by compare-and-swap with all claims and outcomes that wait, under a token bucket. Nothing is sent before the confirmed write. A lost write is followed by a read that looks for the own nonce; an order given up meanwhile is released by a write that also stops the late one. A claim without outcome past its expiry becomes unknown, never free.

A late confirmation is caught by a test of its own only, not by the state machine.

--- /dev/null
+++ b/ibiscroft-core/src/claims/key.rs
@@ -0,0 +1,123 @@
+//! Idempotency keys that carry the time of their creation.
+
+use std::fmt;
+use std::str::FromStr;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::UnixMillis;
+use crate::ids::IdempotencyKey;
+
+/// Longest accepted key in bytes.
+const MAX_KEY_BYTES: usize = 64;
+/// Digits of a leading time in milliseconds since the Unix epoch.
+const MILLIS_DIGITS: usize = 13;
+/// Length of a UUID in its text form.
+const UUID_BYTES: usize = 36;
+/// Place of the version digit in a UUID.
+const UUID_VERSION_AT: usize = 14;
+
+/// An idempotency key with the time that it carries.
+///
+/// Accepted are UUIDs of version 7 and texts that start with thirteen digits (milliseconds since
+/// the Unix epoch) and a `-`. Quotes around the key are dropped.
+///
+/// ```
+/// use ibiscroft_core::claims::TimedKey;
+///
+/// let key = "01938c2e-8a00-7000-8000-0000000000aa".parse::<TimedKey>().unwrap();
+/// assert_eq!(key.time().get(), 0x0193_8c2e_8a00);
+/// let key = "1733270400000-order-17".parse::<TimedKey>().unwrap();
+/// assert_eq!(key.time().get(), 1_733_270_400_000);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct TimedKey {
+    key: IdempotencyKey,
+    time: UnixMillis,
+}
+
+/// Why a text is no usable idempotency key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyFault {
+    /// The key is empty, too long or holds characters other than visible ASCII.
+    Malformed,
+    /// The key carries no time.
+    NoTime,
+}
+
+impl TimedKey {
+    /// Returns the key.
+    #[must_use]
+    pub fn key(&self) -> &IdempotencyKey {
+        &self.key
+    }
+
+    /// Returns the time that the key carries.
+    #[must_use]
+    pub fn time(&self) -> UnixMillis {
+        self.time
+    }
+
+    /// Returns a hash that spreads keys over shards.
+    pub(crate) fn hash(&self) -> u64 {
+        xxh3_64(self.key.as_str().as_bytes())
+    }
+}
+
+impl FromStr for TimedKey {
+    type Err = KeyFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let unquoted = text.strip_prefix('"').and_then(|rest| rest.strip_suffix('"'));
+        let text = unquoted.unwrap_or(text);
+        let is_visible = text.bytes().all(|byte| byte.is_ascii_graphic());
+        if text.is_empty() || text.len() > MAX_KEY_BYTES || !is_visible {
+            return Err(KeyFault::Malformed);
+        }
+        let time = uuid_time(text).or_else(|| leading_millis(text)).ok_or(KeyFault::NoTime)?;
+        let key = IdempotencyKey::new(normalized(text));
+        Ok(Self { key, time: UnixMillis(time) })
+    }
+}
+
+impl fmt::Display for KeyFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Malformed => "the key must be 1 to 64 visible ASCII characters",
+            Self::NoTime => "the key must be a UUID of version 7 or start with Unix milliseconds",
+        })
+    }
+}
+
+impl std::error::Error for KeyFault {}
+
+/// Returns the time in a UUID of version 7.
+fn uuid_time(text: &str) -> Option<u64> {
+    if !is_uuid(text) || text.as_bytes()[UUID_VERSION_AT] != b'7' {
+        return None;
+    }
+    u64::from_str_radix(&format!("{}{}", &text[..8], &text[9..13]), 16).ok()
+}
+
+/// Returns whether `text` has the form of a UUID.
+fn is_uuid(text: &str) -> bool {
+    text.len() == UUID_BYTES
+        && text.bytes().enumerate().all(|(index, byte)| match index {
+            8 | 13 | 18 | 23 => byte == b'-',
+            _ => byte.is_ascii_hexdigit(),
+        })
+}
+
+/// Returns the thirteen digits before the first `-`.
+fn leading_millis(text: &str) -> Option<u64> {
+    let (digits, _) = text.split_once('-')?;
+    if digits.len() != MILLIS_DIGITS || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
+        return None;
+    }
+    digits.parse().ok()
+}
+
+/// Returns UUIDs in lower case and other keys unchanged.
+fn normalized(text: &str) -> String {
+    if is_uuid(text) { text.to_ascii_lowercase() } else { text.to_string() }
+}
--- /dev/null
+++ b/ibiscroft-core/tests/it/claims/book.rs
@@ -0,0 +1,178 @@
+//! Tests of single decisions of `ClaimBook`.
+
+use std::time::Duration;
+
+use ibiscroft_core::Tick;
+use ibiscroft_core::claims::{
+    ClaimAction, ClaimBook, ClaimEvent, ClaimLimits, ClaimVerdict, Fingerprint, KeptAnswer, Moment,
+    OrderId, Page, PageId, UnixMillis,
+};
+use ibiscroft_core::ids::StoreVersion;
+
+const WALL: u64 = 1_733_270_400_000;
+const DAY_MS: u64 = 24 * 3_600_000;
+
+fn at(millis: u64) -> Moment {
+    Moment { now: Tick::from_millis(millis), wall: UnixMillis(WALL + millis) }
+}
+
+fn arrived(order: u64, time: u64) -> ClaimEvent {
+    ClaimEvent::Arrived {
+        order: OrderId(order),
+        key: format!("{time}-{order}").parse().unwrap(),
+        fingerprint: Fingerprint(1),
+        deadline: Tick::from_millis(60_000),
+    }
+}
+
+fn verdicts(actions: &[ClaimAction]) -> Vec<ClaimVerdict> {
+    let mut found = Vec::new();
+    for action in actions {
+        if let ClaimAction::Decide { verdict, .. } = action {
+            found.push(verdict.clone());
+        }
+    }
+    found
+}
+
+/// Answers each call as an empty store that works would, until there are none.
+fn serve(book: &mut ClaimBook, actions: Vec<ClaimAction>, moment: Moment) -> Vec<ClaimAction> {
+    let mut open = actions;
+    let mut decided = Vec::new();
+    let mut version = 0;
+    while let Some(action) = open.pop() {
+        let event = match action {
+            ClaimAction::ReadPage { page } => {
+                let (version, content) = (StoreVersion(0), Page::default());
+                ClaimEvent::PageRead { page, version, content }
+            }
+            ClaimAction::WritePage { page, .. } => {
+                version += 1;
+                ClaimEvent::PageWritten { page, version: StoreVersion(version) }
+            }
+            decide @ ClaimAction::Decide { .. } => {
+                decided.push(decide);
+                continue;
+            }
+        };
+        open.extend(book.handle(event, moment));
+    }
+    decided
+}
+
+struct AgeCase {
+    name: &'static str,
+    time: u64,
+    expected: &'static [ClaimVerdict],
+}
+
+const AGE_CASES: &[AgeCase] = &[
+    AgeCase { name: "now", time: WALL, expected: &[ClaimVerdict::Proceed] },
+    AgeCase { name: "a day", time: WALL - DAY_MS, expected: &[ClaimVerdict::Proceed] },
+    AgeCase { name: "over", time: WALL - DAY_MS - 1, expected: &[ClaimVerdict::KeyExpired] },
+    AgeCase { name: "ahead", time: WALL + 300_001, expected: &[ClaimVerdict::KeyAhead] },
+];
+
+#[test]
+fn keys_outside_the_horizon_are_refused() {
+    for case in AGE_CASES {
+        let mut book = ClaimBook::new(ClaimLimits::for_fleet(18), 1);
+        let actions = book.handle(arrived(1, case.time), at(0));
+        let decided = serve(&mut book, actions, at(0));
+        assert_eq!(verdicts(&decided), case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn nothing_is_decided_before_the_write_is_confirmed() {
+    let mut book = ClaimBook::new(ClaimLimits::for_fleet(18), 1);
+    let actions = book.handle(arrived(1, WALL), at(0));
+    let [ClaimAction::ReadPage { page }] = actions[..] else {
+        panic!("{actions:?}");
+    };
+    let read = ClaimEvent::PageRead { page, version: StoreVersion(0), content: Page::default() };
+    let actions = book.handle(read, at(1));
+    assert!(matches!(actions[..], [ClaimAction::WritePage { .. }]), "{actions:?}");
+    let actions = book.handle(ClaimEvent::PageWritten { page, version: StoreVersion(1) }, at(2));
+    assert_eq!(verdicts(&actions), [ClaimVerdict::Proceed]);
+}
+
+#[test]
+fn a_claim_confirmed_after_the_deadline_is_released() {
+    let mut book = ClaimBook::new(ClaimLimits::for_fleet(18), 1);
+    let page = book.limits().page_of(&format!("{WALL}-1").parse().unwrap());
+    book.handle(arrived(1, WALL), at(0));
+    let read = ClaimEvent::PageRead { page, version: StoreVersion(0), content: Page::default() };
+    book.handle(read, at(1));
+    let written = ClaimEvent::PageWritten { page, version: StoreVersion(1) };
+    let actions = book.handle(written, at(90_000));
+    assert_eq!(verdicts(&actions), [ClaimVerdict::Unavailable]);
+    let released = actions.iter().any(|action| match action {
+        ClaimAction::WritePage { content, .. } => content.records.is_empty(),
+        ClaimAction::ReadPage { .. } | ClaimAction::Decide { .. } => false,
+    });
+    assert!(released, "{actions:?}");
+}
+
+#[test]
+fn an_outage_refuses_orders_within_the_claim_wait() {
+    let limits = ClaimLimits::for_fleet(18);
+    let mut book = ClaimBook::new(limits, 1);
+    let mut open = book.handle(arrived(1, WALL), at(0));
+    let mut decided_at = None;
+    for millis in 0..5_000 {
+        open.extend(book.handle(ClaimEvent::Tick, at(millis)));
+        while let Some(action) = open.pop() {
+            match action {
+                ClaimAction::ReadPage { page } => {
+                    open.extend(book.handle(ClaimEvent::PageReadFailed { page }, at(millis)));
+                }
+                ClaimAction::Decide { verdict, .. } => {
+                    assert_eq!(verdict, ClaimVerdict::Unavailable);
+                    decided_at = Some(millis);
+                }
+                ClaimAction::WritePage { .. } => panic!("nothing was read"),
+            }
+        }
+    }
+    assert_eq!(decided_at.map(Duration::from_millis), Some(limits.claim_wait));
+    assert_eq!(book.orders(), 0);
+}
+
+#[test]
+fn orders_and_pages_in_memory_are_bounded() {
+    let limits = ClaimLimits { max_orders: 10, ..ClaimLimits::for_fleet(18) };
+    let mut book = ClaimBook::new(limits, 1);
+    let mut refused = 0;
+    for order in 0..100 {
+        let actions = book.handle(arrived(order, WALL + order), at(0));
+        refused += verdicts(&actions).len();
+    }
+    assert_eq!((refused, book.orders()), (90, 10));
+    for millis in 0..10_000 {
+        book.handle(ClaimEvent::PageReadFailed { page: PageId { slot: 0, shard: 0 } }, at(millis));
+    }
+    assert_eq!(book.orders(), 0);
+}
+
+#[test]
+fn a_page_stays_under_its_bound() {
+    let limits = ClaimLimits { max_page_bytes: 2_000, shards: 1, ..ClaimLimits::for_fleet(18) };
+    let mut book = ClaimBook::new(limits, 1);
+    let mut sent = 0;
+    for order in 0..40 {
+        let moment = at(order * 200);
+        let actions = book.handle(arrived(order, WALL), moment);
+        let decided = serve(&mut book, actions, moment);
+        sent += verdicts(&decided).iter().filter(|found| **found == ClaimVerdict::Proceed).count();
+    }
+    assert!((5..=12).contains(&sent), "{sent} orders in a page of 2000 bytes");
+}
+
+#[test]
+fn a_large_answer_is_kept_without_its_body() {
+    let answer =
+        KeptAnswer { status: 201, content_type: String::new(), body: Some("x".repeat(3_000)) };
+    let kept = answer.with_body_up_to(ClaimLimits::for_fleet(18).max_kept_body);
+    assert_eq!((kept.status, kept.body), (201, None));
+}
--- /dev/null
+++ b/ibiscroft-core/tests/it/claims/key.rs
@@ -0,0 +1,60 @@
+//! Tests of keys and their pages.
+
+use ibiscroft_core::claims::{ClaimLimits, KeyFault, TimedKey, UnixMillis};
+
+struct Case {
+    text: &'static str,
+    expected: Result<u64, KeyFault>,
+}
+
+const CASES: &[Case] = &[
+    Case { text: "01938c2e-8a00-7abc-8def-0123456789ab", expected: Ok(0x0193_8c2e_8a00) },
+    Case { text: "01938C2E-8A00-7ABC-8DEF-0123456789AB", expected: Ok(0x0193_8c2e_8a00) },
+    Case { text: "\"01938c2e-8a00-7abc-8def-0123456789ab\"", expected: Ok(0x0193_8c2e_8a00) },
+    Case { text: "1733270400000-a", expected: Ok(1_733_270_400_000) },
+    Case { text: "8e03978e-40d5-43dd-bc93-6894a57f9324", expected: Err(KeyFault::NoTime) },
+    Case { text: "173327040000-a", expected: Err(KeyFault::NoTime) },
+    Case { text: "1733270400000", expected: Err(KeyFault::NoTime) },
+    Case { text: "order-17", expected: Err(KeyFault::NoTime) },
+    Case { text: "", expected: Err(KeyFault::Malformed) },
+    Case { text: "1733270400000-a b", expected: Err(KeyFault::Malformed) },
+    Case {
+        text: "1733270400000-0123456789012345678901234567890123456789012345678901",
+        expected: Err(KeyFault::Malformed),
+    },
+];
+
+#[test]
+fn keys_carry_their_time() {
+    for case in CASES {
+        let found = case.text.parse::<TimedKey>().map(|key| key.time().get());
+        assert_eq!(found, case.expected, "{:?}", case.text);
+    }
+}
+
+#[test]
+fn spelling_of_a_uuid_does_not_matter() {
+    let lower = "01938c2e-8a00-7abc-8def-0123456789ab".parse::<TimedKey>().unwrap();
+    let upper = "\"01938C2E-8A00-7ABC-8DEF-0123456789AB\"".parse::<TimedKey>().unwrap();
+    assert_eq!(lower, upper);
+}
+
+#[test]
+fn a_key_has_one_page_for_ever() {
+    let limits = ClaimLimits::for_fleet(18);
+    let key = "1733270400000-a".parse::<TimedKey>().unwrap();
+    let page = limits.page_of(&key);
+    assert_eq!(page.slot, 173_327_040);
+    assert!(page.shard < limits.shards);
+    assert_eq!(page, ClaimLimits::for_fleet(3).page_of(&key));
+}
+
+#[test]
+fn keys_expire_after_the_horizon() {
+    let limits = ClaimLimits::for_fleet(18);
+    let day = 24 * 3_600_000;
+    assert!(!limits.is_expired(UnixMillis(1_000), UnixMillis(1_000 + day)));
+    assert!(limits.is_expired(UnixMillis(1_000), UnixMillis(1_001 + day)));
+    assert!(!limits.is_ahead(UnixMillis(301_000), UnixMillis(1_000)));
+    assert!(limits.is_ahead(UnixMillis(301_001), UnixMillis(1_000)));
+}
