feat(gateway): orders pass only under a claim confirmed in the store

Cause: the daemon sent requests of at-most-once services without any claim.

Ruled out: claims inside the control loop's own state (its select loop awaits other work); sending from the caller's task (a caller that goes away would cut the order off and make its outcome unknown).

Change: a claims controller on the control thread with a store client of its own, a claim filter before the targets are chosen, guards that report the end of an order exactly once, kept answers replayed with `idempotent-replayed`, claim pages as a generated border type, metrics, dump and two log events. An order runs in a task of its own and is flushed at a planned stop. A request that must run at most once never counts as safe to retry.

--- a/ibiscroft-core/src/claims/book.rs
+++ b/ibiscroft-core/src/claims/book.rs
@@ -129,10 +129,11 @@
             }
             ClaimEvent::PageConflict { page } => self.on_conflict(page),
             ClaimEvent::PageWriteLost { page } => self.on_write_lost(page, at.now),
-            ClaimEvent::Tick => self.drop_unused_pages(at.now),
+            ClaimEvent::Tick => {}
         }
         self.give_up(at.now, &mut actions);
         self.start_calls(at, &mut actions);
+        self.drop_unused_pages(at.now);
         actions
     }
 
--- a/ibiscroft-core/src/claims/page.rs
+++ b/ibiscroft-core/src/claims/page.rs
@@ -2,13 +2,15 @@
 
 use std::fmt;
 
+use xxhash_rust::xxh3::Xxh3;
+
 use crate::ids::IdempotencyKey;
 use crate::{data, number_newtype};
 
 use super::UnixMillis;
 
 /// Encoded size of a record without key and kept answer, in bytes; an upper bound.
-const RECORD_BYTES: usize = 160;
+const RECORD_BYTES: usize = 192;
 /// Encoded size of an empty page, in bytes; an upper bound.
 const PAGE_BYTES: usize = 64;
 
@@ -73,6 +75,19 @@
     }
 }
 
+impl Fingerprint {
+    /// Returns the fingerprint of a request that consists of `parts`.
+    #[must_use]
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hasher = Xxh3::new();
+        for part in parts {
+            hasher.update(&part.len().to_le_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.digest())
+    }
+}
+
 impl Page {
     /// Returns the record of `key`.
     #[must_use]
--- /dev/null
+++ b/ibiscroft-gateway/src/claims.rs
@@ -0,0 +1,18 @@
+//! Claims on orders: the controller that keeps them in the store, and the handle for traffic.
+//!
+//! The controller runs on the control thread and owns the [`ClaimBook`]. Traffic threads ask it
+//! through a [`ClaimsHandle`] and hold a guard while an order runs, so that each order ends with
+//! exactly one outcome even when its task is dropped.
+//!
+//! [`ClaimBook`]: ibiscroft_core::claims::ClaimBook
+
+mod controller;
+mod guard;
+mod handle;
+mod metrics;
+mod page_store;
+
+pub use controller::ClaimsController;
+pub use guard::{ConfirmedClaim, SentOrder};
+pub use handle::{ClaimsHandle, Decision, OrderRequest};
+pub use metrics::ClaimMetrics;
--- /dev/null
+++ b/ibiscroft-gateway/src/claims/guard.rs
@@ -0,0 +1,67 @@
+//! Guards that report the end of an order exactly once.
+
+use ibiscroft_core::claims::{ClaimEvent, KeptAnswer, OrderId};
+use tokio::sync::mpsc;
+
+use super::handle::Message;
+
+/// A confirmed claim of an order that was not sent yet; dropping it releases the claim.
+#[derive(Debug)]
+pub struct ConfirmedClaim {
+    report: Report,
+}
+
+/// An order that may be running; dropping it records that its outcome is unknown.
+#[derive(Debug)]
+pub struct SentOrder {
+    report: Report,
+}
+
+/// Reports one event when it is dropped.
+#[derive(Debug)]
+struct Report {
+    messages: mpsc::UnboundedSender<Message>,
+    order: OrderId,
+    event: Option<ClaimEvent>,
+}
+
+impl ConfirmedClaim {
+    pub(super) fn new(messages: mpsc::UnboundedSender<Message>, order: OrderId) -> Self {
+        let event = Some(ClaimEvent::NotSent { order });
+        Self { report: Report { messages, order, event } }
+    }
+
+    /// Returns the guard to hold while the order is sent; it must be taken before the first byte.
+    #[must_use]
+    pub fn begin(mut self) -> SentOrder {
+        let event = self.report.event.take();
+        let (messages, order) = (self.report.messages.clone(), self.report.order);
+        let event = event.map(|_| ClaimEvent::Lost { order });
+        SentOrder { report: Report { messages, order, event } }
+    }
+}
+
+impl SentOrder {
+    /// Records that no byte of the order went out or that no backend server ran it.
+    pub fn not_sent(mut self) {
+        let order = self.report.order;
+        self.report.event = Some(ClaimEvent::NotSent { order });
+    }
+
+    /// Records the answer of the backend server.
+    pub fn answered(mut self, answer: KeptAnswer) {
+        let order = self.report.order;
+        self.report.event = Some(ClaimEvent::Answered { order, answer });
+    }
+
+    /// Records that the outcome is unknown.
+    pub fn lost(self) {}
+}
+
+impl Drop for Report {
+    fn drop(&mut self) {
+        if let Some(event) = self.event.take() {
+            let _ = self.messages.send(Message::Event(event));
+        }
+    }
+}
--- a/ibiscroft-gateway/src/clock.rs
+++ b/ibiscroft-gateway/src/clock.rs
@@ -6,18 +6,20 @@
 
 /// Converts between the system's monotonic clock and [`Tick`].
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock {
+pub struct Clock {
     origin: Instant,
 }
 
 impl Clock {
     /// Makes a clock whose origin is now.
-    pub(crate) fn start() -> Self {
+    #[must_use]
+    pub fn start() -> Self {
         Self { origin: Instant::now() }
     }
 
     /// Returns the present instant.
-    pub(crate) fn now(self) -> Tick {
+    #[must_use]
+    pub fn now(self) -> Tick {
         Tick::ZERO + self.origin.elapsed()
     }
 }
--- a/ibiscroft-gateway/src/control.rs
+++ b/ibiscroft-gateway/src/control.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::claims::ClaimsHandle;
 use crate::controllers::peers::{PeerEvent, Peers};
 use crate::controllers::registers::Registers;
 use crate::controllers::roster::{LeaseEvent, Roster};
@@ -68,6 +69,7 @@
     targets: Targets,
     roster: Roster,
     peers: Peers,
+    claims: ClaimsHandle,
     store_lost: bool,
     next_ping: Tick,
 }
@@ -78,6 +80,7 @@
         shared: Arc<Shared>,
         settings: Rc<Settings>,
         store: StoreClient,
+        claims: ClaimsHandle,
         events: mpsc::UnboundedSender<ControlEvent>,
     ) -> Self {
         Self {
@@ -85,6 +88,7 @@
             targets: Targets::default(),
             roster: Roster::start(Rc::clone(&settings), Arc::clone(&shared), store, &events),
             peers: Peers::new(Arc::clone(&shared), settings.instance.clone(), events),
+            claims,
             shared,
             settings,
             store_lost: false,
@@ -130,7 +134,11 @@
             };
             self.registers.on_entry(&entry.key, value);
         }
-        self.peers.set_roster(self.roster.members());
+        let members = self.roster.members();
+        if !members.is_empty() {
+            self.claims.set_gateways(members.len());
+        }
+        self.peers.set_roster(members);
     }
 
     fn on_watch_failed(&mut self, error: &StoreError) {
@@ -194,7 +202,9 @@
     async fn on_command(&mut self, command: ControlCommand) {
         match command {
             ControlCommand::Dump(answer) => {
-                let _ = answer.send(self.dump());
+                let mut state = self.dump();
+                state["claims"] = self.claims.dump().await;
+                let _ = answer.send(state);
             }
             ControlCommand::Leave(done) => {
                 self.roster.leave().await;
--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -7,6 +7,7 @@
 
 use arc_swap::ArcSwap;
 use eyre::WrapErr;
+use ibiscroft_core::claims::ClaimLimits;
 use ibiscroft_core::ids::RunId;
 use ibiscroft_platform::StoreClient;
 use poem::Server;
@@ -17,11 +18,13 @@
 use tokio::task::LocalSet;
 
 use crate::backend_client::BackendClient;
+use crate::claims::ClaimsController;
 use crate::clock::Clock;
 use crate::control::{Control, ControlCommand, ControlInputs};
 use crate::events::event;
 use crate::filters::Chain;
 use crate::filters::account::Account;
+use crate::filters::claim::Claim;
 use crate::filters::forward::Forward;
 use crate::metrics::Metrics;
 use crate::operator_server::OperatorEndpoint;
@@ -34,6 +37,12 @@
 
 /// Longest time of one call to the key-value service.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time of one call for a claim page.
+const CLAIM_STORE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait at a planned stop for orders without callers and for outcomes not yet recorded.
+const CLAIM_FLUSH_LIMIT: Duration = Duration::from_secs(30);
+/// Gateways assumed to share the store until the roster is known.
+const DEFAULT_GATEWAYS: u32 = 18;
 /// Observations that may wait for the control thread.
 const OBSERVATION_QUEUE: usize = 4_096;
 /// Commands that may wait for the control thread.
@@ -80,8 +89,19 @@
     });
     let closing = Arc::new(AtomicBool::new(false));
 
-    let control =
-        Control::new(Arc::clone(&shared), Rc::clone(&settings), store.clone(), event_tx.clone());
+    let limits = ClaimLimits::for_fleet(DEFAULT_GATEWAYS);
+    let claim_store = StoreClient::new(settings.store.clone(), CLAIM_STORE_TIMEOUT)?;
+    let metrics = shared.metrics.claims.clone();
+    let (controller, claims) = ClaimsController::new(limits, claim_store, shared.clock, metrics);
+    tokio::task::spawn_local(controller.run());
+
+    let control = Control::new(
+        Arc::clone(&shared),
+        Rc::clone(&settings),
+        store.clone(),
+        claims.clone(),
+        event_tx.clone(),
+    );
     tokio::task::spawn_local(control.run(ControlInputs { events, observations, commands }));
     tokio::task::spawn_local(store_watch::watch(store, Arc::clone(&shared), event_tx.clone()));
     tokio::task::spawn_local(peer_link::listen(peer_listener, Arc::clone(&shared), event_tx));
@@ -92,7 +112,8 @@
     );
 
     let forward = Forward::new(Arc::clone(&shared), BackendClient::new()?);
-    let chain = Chain::new(Account::new(Arc::clone(&shared)), forward);
+    let claim = Chain::new(Claim::new(claims.clone(), &limits), forward);
+    let chain = Chain::new(Account::new(Arc::clone(&shared)), claim);
     let callers = CallerEndpoint::new(Arc::clone(&shared), chain, Arc::clone(&closing));
     let (stop_tx, stop_rx) = oneshot::channel::<()>();
     let server = Server::new_with_acceptor(TcpAcceptor::from_std(caller_listener.into_std()?)?)
@@ -111,6 +132,9 @@
     }
     let _ = stop_tx.send(());
     serving.await.wrap_err("traffic")?.wrap_err("server for callers")?;
+    if tokio::time::timeout(CLAIM_FLUSH_LIMIT, claims.flush()).await.is_err() {
+        event!(ClaimsUnflushed, "{}", claims.dump().await);
+    }
     let in_flight = shared.metrics.in_flight.get();
     if in_flight > 0 {
         event!(StopLimitReached, "{in_flight} requests in flight");
--- a/ibiscroft-gateway/src/events.rs
+++ b/ibiscroft-gateway/src/events.rs
@@ -60,6 +60,8 @@
     PeerUp 4001 Info "A connection to another gateway is up.",
     PeerDown 4002 Info "A connection to another gateway ended.",
     TargetLeaving 5001 Info "A target started leaving.",
+    ClaimPageUnusable 6001 Error "A claim page could not be used; orders with keys of that page are refused.",
+    ClaimsUnflushed 6002 Warn "The gateway stopped before every order's outcome was recorded.",
 }
 
 /// Logs a numbered event.
--- a/ibiscroft-gateway/src/exchange.rs
+++ b/ibiscroft-gateway/src/exchange.rs
@@ -52,7 +52,7 @@
 
     /// Returns whether the request may be sent again after an unknown outcome.
     pub(crate) fn is_safe(&self) -> bool {
-        self.method.is_safe()
+        self.method.is_safe() && !self.is_at_most_once()
     }
 }
 
--- a/ibiscroft-gateway/src/lib.rs
+++ b/ibiscroft-gateway/src/lib.rs
@@ -17,8 +17,10 @@
 mod snapshot;
 mod store_watch;
 
+pub mod claims;
 pub mod events;
 pub mod settings;
 
+pub use clock::Clock;
 pub use daemon::run;
 pub use settings::Settings;
--- a/ibiscroft-gateway/src/metrics.rs
+++ b/ibiscroft-gateway/src/metrics.rs
@@ -7,6 +7,8 @@
     TextEncoder,
 };
 
+use crate::claims::ClaimMetrics;
+
 /// Upper bounds of the added-time buckets, in seconds.
 const ADDED_SECONDS: [f64; 14] = [
     0.000_02, 0.000_05, 0.000_1, 0.000_15, 0.000_2, 0.000_25, 0.000_31, 0.000_4, 0.000_5, 0.001,
@@ -33,6 +35,8 @@
     pub(crate) zones_generation: IntGauge,
     /// Calls to the key-value service, by kind.
     pub(crate) store_calls: IntCounterVec,
+    /// Claims on orders.
+    pub(crate) claims: ClaimMetrics,
     /// Bytes sent to other gateways.
     pub(crate) peer_sent_bytes: IntCounter,
     /// Bytes received from other gateways.
@@ -77,6 +81,7 @@
                 "Calls to the key-value service",
                 "call",
             )?,
+            claims: ClaimMetrics::register(&registry)?,
             peer_sent_bytes: counter(
                 &registry,
                 "peer_sent_bytes_total",
--- a/ibiscroft-gateway/src/server.rs
+++ b/ibiscroft-gateway/src/server.rs
@@ -6,9 +6,10 @@
 use http::{HeaderValue, header};
 use ibiscroft_core::Tick;
 use ibiscroft_core::ids::RequestId;
+use ibiscroft_wire::ErrorKind;
 use poem::{Endpoint, Request, Response};
 
-use crate::exchange::{Exchange, Failure};
+use crate::exchange::{Exchange, Failure, Reply};
 use crate::filters::Handler;
 use crate::filters::identify::{identify, request_id};
 use crate::problem::{answer_response, failure_response};
@@ -18,29 +19,46 @@
 #[derive(Debug)]
 pub(crate) struct CallerEndpoint<H> {
     shared: Arc<Shared>,
-    chain: H,
+    chain: Arc<H>,
     closing: Arc<AtomicBool>,
     next_request: AtomicU64,
 }
 
-impl<H: Handler> CallerEndpoint<H> {
+impl<H: Handler + 'static> CallerEndpoint<H> {
     /// Makes the endpoint; once `closing` is set, each answer closes its connection.
     pub(crate) fn new(shared: Arc<Shared>, chain: H, closing: Arc<AtomicBool>) -> Self {
-        Self { shared, chain, closing, next_request: AtomicU64::new(0) }
+        Self { shared, chain: Arc::new(chain), closing, next_request: AtomicU64::new(0) }
     }
 
     async fn serve(&self, req: Request, id: RequestId, received: Tick) -> Response {
         let view = self.shared.view();
         match identify(req, id.clone(), &view, received).await {
-            Ok(mut ex) => self.serve_exchange(&mut ex).await,
+            Ok(ex) if ex.is_at_most_once() => self.serve_order(ex).await,
+            Ok(ex) => self.serve_exchange(ex).await,
             Err(failure) => self.fail(&failure, &id),
         }
     }
 
-    async fn serve_exchange(&self, ex: &mut Exchange) -> Response {
-        match self.chain.handle(ex).await {
+    async fn serve_exchange(&self, mut ex: Exchange) -> Response {
+        let reply = self.chain.handle(&mut ex).await;
+        self.respond(reply, &ex.request_id)
+    }
+
+    /// Serves an order in a task of its own, which goes on when the caller goes away.
+    async fn serve_order(&self, mut ex: Exchange) -> Response {
+        let id = ex.request_id.clone();
+        let chain = Arc::clone(&self.chain);
+        let order = tokio::spawn(async move { chain.handle(&mut ex).await });
+        let reply = order.await.unwrap_or_else(|error| {
+            Err(Failure::new(ErrorKind::Internal, format!("the order's task failed: {error}")))
+        });
+        self.respond(reply, &id)
+    }
+
+    fn respond(&self, reply: Reply, id: &RequestId) -> Response {
+        match reply {
             Ok(answer) => answer_response(answer),
-            Err(failure) => self.fail(&failure, &ex.request_id),
+            Err(failure) => self.fail(&failure, id),
         }
     }
 
@@ -57,7 +75,7 @@
     }
 }
 
-impl<H: Handler> Endpoint for CallerEndpoint<H> {
+impl<H: Handler + 'static> Endpoint for CallerEndpoint<H> {
     type Output = Response;
 
     async fn call(&self, req: Request) -> poem::Result<Response> {
--- /dev/null
+++ b/ibiscroft-wire/src/claim_records.rs
@@ -0,0 +1,81 @@
+//! Conversions between the stored claim pages and the core's types.
+
+use ibiscroft_core::claims::{
+    ClaimNonce, ClaimRecord, ClaimState, Fingerprint, KeptAnswer, Page, PageId, UnixMillis,
+};
+use ibiscroft_core::ids::IdempotencyKey;
+
+use crate::generated::claims::{ClaimAnswer, ClaimEntry, ClaimEntryState, ClaimPageRecord};
+use crate::keys;
+use crate::schema_check::Fault;
+
+/// Returns the store's key of a claim page.
+#[must_use]
+pub fn claim_page_key(page: PageId) -> String {
+    format!("{}{page}", keys::CLAIMS_PREFIX)
+}
+
+/// Returns the record of a claim page.
+#[must_use]
+pub fn claim_page_record(page: &Page) -> ClaimPageRecord {
+    ClaimPageRecord { claims: page.records.iter().map(claim_entry).collect() }
+}
+
+/// Returns the claim page of a record.
+///
+/// # Errors
+///
+/// Returns the first finished claim without answer.
+pub fn claim_page(record: ClaimPageRecord) -> Result<Page, Fault> {
+    let mut records = Vec::with_capacity(record.claims.len());
+    for (index, entry) in record.claims.into_iter().enumerate() {
+        records.push(claim_record(entry, index)?);
+    }
+    Ok(Page { records })
+}
+
+fn claim_entry(record: &ClaimRecord) -> ClaimEntry {
+    let (state, answer) = match &record.state {
+        ClaimState::Claimed => (ClaimEntryState::Claimed, None),
+        ClaimState::Unknown => (ClaimEntryState::Unknown, None),
+        ClaimState::Finished(answer) => (ClaimEntryState::Finished, Some(claim_answer(answer))),
+    };
+    ClaimEntry {
+        key: record.key.to_string(),
+        fingerprint: record.fingerprint.get(),
+        nonce: record.nonce.get(),
+        expires_at_ms: record.expires_at.get(),
+        state,
+        answer,
+    }
+}
+
+fn claim_answer(answer: &KeptAnswer) -> ClaimAnswer {
+    let content_type = Some(answer.content_type.clone()).filter(|text| !text.is_empty());
+    ClaimAnswer { status: answer.status, content_type, body: answer.body.clone() }
+}
+
+fn claim_record(entry: ClaimEntry, index: usize) -> Result<ClaimRecord, Fault> {
+    let state = match (entry.state, entry.answer) {
+        (ClaimEntryState::Claimed, _) => ClaimState::Claimed,
+        (ClaimEntryState::Unknown, _) => ClaimState::Unknown,
+        (ClaimEntryState::Finished, Some(answer)) => ClaimState::Finished(KeptAnswer {
+            status: answer.status,
+            content_type: answer.content_type.unwrap_or_default(),
+            body: answer.body,
+        }),
+        (ClaimEntryState::Finished, None) => {
+            return Err(Fault::new(
+                format!("/claims/{index}/answer"),
+                "a finished claim needs one",
+            ));
+        }
+    };
+    Ok(ClaimRecord {
+        key: IdempotencyKey::new(entry.key),
+        fingerprint: Fingerprint(entry.fingerprint),
+        nonce: ClaimNonce(entry.nonce),
+        expires_at: UnixMillis(entry.expires_at_ms),
+        state,
+    })
+}
--- a/ibiscroft-wire/src/generated.rs
+++ b/ibiscroft-wire/src/generated.rs
@@ -2,6 +2,8 @@
 #![allow(missing_docs, clippy::all, clippy::pedantic, unreachable_pub, unused_qualifications)]
 #![allow(rust_2018_idioms, clippy::needless_pass_by_value, clippy::uninlined_format_args)]
 
+#[rustfmt::skip]
+pub mod claims;
 #[rustfmt::skip]
 pub mod configuration;
 #[rustfmt::skip]
--- a/ibiscroft-wire/src/headers.rs
+++ b/ibiscroft-wire/src/headers.rs
@@ -16,3 +16,5 @@
 pub const LOAD: &str = "x-load";
 /// State of the backend server that answered: `cold`, `warm` or `draining`.
 pub const TARGET_STATE: &str = "x-target-state";
+/// Marks an answer kept from an earlier try with the same key; its value is `true`.
+pub const IDEMPOTENT_REPLAYED: &str = "idempotent-replayed";
--- a/ibiscroft-wire/src/lib.rs
+++ b/ibiscroft-wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Border types, codecs, header and key names, and error kinds of ibiscroft.
 
+pub mod claim_records;
 pub mod codec;
 pub mod error_kind;
 pub mod generated;
--- /dev/null
+++ b/ibiscroft-wire/tests/it/claim_records.rs
@@ -0,0 +1,65 @@
+//! Tests of claim pages as they stand in the store.
+
+use ibiscroft_core::claims::{
+    ClaimNonce, ClaimRecord, ClaimState, Fingerprint, KeptAnswer, Page, PageId, UnixMillis,
+};
+use ibiscroft_core::ids::IdempotencyKey;
+use ibiscroft_wire::claim_records::{claim_page, claim_page_key, claim_page_record};
+use ibiscroft_wire::codec;
+
+fn page(state: ClaimState) -> Page {
+    let record = ClaimRecord {
+        key: IdempotencyKey::new("01938c2e-8a00-7abc-8def-0123456789ab"),
+        fingerprint: Fingerprint(u64::MAX),
+        nonce: ClaimNonce(u64::MAX),
+        expires_at: UnixMillis(1_733_270_400_000),
+        state,
+    };
+    Page { records: vec![record; 3] }
+}
+
+fn states() -> Vec<ClaimState> {
+    let body = "\"\\\n\u{1}é".repeat(50);
+    vec![
+        ClaimState::Claimed,
+        ClaimState::Unknown,
+        ClaimState::Finished(KeptAnswer {
+            status: 599,
+            content_type: "application/json; charset=\"utf-8\"".to_string(),
+            body: Some(body),
+        }),
+        ClaimState::Finished(KeptAnswer { status: 201, content_type: String::new(), body: None }),
+    ]
+}
+
+#[test]
+fn pages_survive_the_store() {
+    for state in states() {
+        let page = page(state);
+        let text = codec::to_json(&claim_page_record(&page)).unwrap();
+        assert_eq!(claim_page(codec::from_json(&text).unwrap()).unwrap(), page);
+    }
+}
+
+#[test]
+fn encoded_size_stays_under_the_estimate() {
+    for state in states() {
+        let page = page(state);
+        let size = codec::to_json(&claim_page_record(&page)).unwrap().len();
+        assert!(size <= page.encoded_bytes(), "{size} > {}", page.encoded_bytes());
+    }
+}
+
+#[test]
+fn a_finished_claim_without_answer_is_refused() {
+    let text = r#"{"claims":[{"key":"k","fingerprint":1,"nonce":2,"expires_at_ms":3,
+        "state":"finished"}]}"#;
+    let fault = claim_page(codec::from_json(text).unwrap()).unwrap_err();
+    assert_eq!(fault.path, "/claims/0/answer");
+}
+
+#[test]
+fn pages_have_keys_of_their_own() {
+    let key = claim_page_key(PageId { slot: 173_327_040, shard: 3 });
+    assert_eq!(key, "ibiscroft/claims/173327040/3");
+}
--- a/ibiscroft-wire/tests/it/generator.rs
+++ b/ibiscroft-wire/tests/it/generator.rs
@@ -6,8 +6,8 @@
 use serde_json::Value;
 
 /// Names of the schemas, which are also the names of the generated modules.
-pub(crate) const SCHEMAS: [&str; 7] =
-    ["configuration", "peer", "problem", "questionnaire", "roster", "settings", "store"];
+pub(crate) const SCHEMAS: [&str; 8] =
+    ["claims", "configuration", "peer", "problem", "questionnaire", "roster", "settings", "store"];
 
 /// Returns where the generated code of schema `name` is kept.
 pub(crate) fn output_path(root: &Path, name: &str) -> PathBuf {
--- a/ibiscroft-wire/tests/it/main.rs
+++ b/ibiscroft-wire/tests/it/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the border types.
 
+mod claim_records;
 mod generated;
 mod generator;
