--- a/ibiscroft-core/src/claims/page.rs
+++ b/ibiscroft-core/src/claims/page.rs
@@ -70,8 +70,8 @@
         pub status: u16,
         /// Content type; empty when the answer had none.
         pub content_type: String,
-        /// Body; `None` when it was too large or not text.
-        pub body: Option<String>,
+        /// Body; `None` when it was too large.
+        pub body: Option<Vec<u8>>,
     }
 }
 
@@ -130,10 +130,12 @@
 }
 
 impl KeptAnswer {
-    /// Returns an upper bound of the encoded size in bytes; JSON escapes take up to six each.
+    /// Returns an upper bound of the encoded size in bytes.
+    ///
+    /// Text is escaped as JSON needs it; other bytes take two digits each.
     #[must_use]
     pub fn encoded_bytes(&self) -> usize {
-        let body = self.body.as_ref().map_or(0, |body| escaped_bytes(body));
+        let body = self.body.as_deref().map_or(0, body_bytes);
         escaped_bytes(&self.content_type) + body
     }
 
@@ -151,6 +153,10 @@
     }
 }
 
+fn body_bytes(body: &[u8]) -> usize {
+    std::str::from_utf8(body).map_or(2 * body.len(), escaped_bytes)
+}
+
 fn escaped_bytes(text: &str) -> usize {
     text.bytes()
         .map(|byte| match byte {
--- a/ibiscroft-core/tests/it/claims/book.rs
+++ b/ibiscroft-core/tests/it/claims/book.rs
@@ -172,7 +172,7 @@
 #[test]
 fn a_large_answer_is_kept_without_its_body() {
     let answer =
-        KeptAnswer { status: 201, content_type: String::new(), body: Some("x".repeat(3_000)) };
+        KeptAnswer { status: 201, content_type: String::new(), body: Some(vec![b'x'; 3_000]) };
     let kept = answer.with_body_up_to(ClaimLimits::for_fleet(18).max_kept_body);
     assert_eq!((kept.status, kept.body), (201, None));
 }
--- a/ibiscroft-core/tests/it/claims/world.rs
+++ b/ibiscroft-core/tests/it/claims/world.rs
@@ -384,7 +384,11 @@
 
 /// Returns the answer of the backend server to the order of `key`.
 pub(crate) fn answer_to(key: usize) -> KeptAnswer {
-    KeptAnswer { status: 201, content_type: String::new(), body: Some(format!("stamp {key}")) }
+    KeptAnswer {
+        status: 201,
+        content_type: String::new(),
+        body: Some(format!("stamp {key}").into_bytes()),
+    }
 }
 
 fn timed_key(key: usize) -> TimedKey {
--- a/ibiscroft-gateway/src/filters/claim.rs
+++ b/ibiscroft-gateway/src/filters/claim.rs
@@ -59,7 +59,7 @@
         };
         match body {
             Ok(Collected::Whole(body)) => {
-                kept.body = std::str::from_utf8(&body).ok().map(ToString::to_string);
+                kept.body = Some(body.to_vec());
                 sent.answered(kept);
                 answer.body = AnswerBody::Whole(body);
                 Ok(answer)
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway.
 
 mod catalogues;
+mod orders;
 mod settings;
 mod support;
 mod whole_path;
--- a/ibiscroft-gateway/tests/it/support.rs
+++ b/ibiscroft-gateway/tests/it/support.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use ibiscroft_core::config::Configuration;
 use ibiscroft_core::ids::{ChangeId, Generation, StoreVersion};
@@ -107,6 +107,12 @@
     }
 }
 
+/// Returns an idempotency key that carries the present time.
+pub(crate) fn timed_key(name: &str) -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    format!("{}-{name}", now.as_millis())
+}
+
 /// Returns a questionnaire for one service on `backends`.
 pub(crate) fn answers(backends: &[RunningBackend]) -> Value {
     let mut targets = Vec::new();
--- a/ibiscroft-gateway/tests/it/whole_path.rs
+++ b/ibiscroft-gateway/tests/it/whole_path.rs
@@ -4,7 +4,7 @@
 use reqwest::Method;
 use serde_json::Value;
 
-use crate::support::{Fleet, FleetOptions, answers, put_configuration, wait_for};
+use crate::support::{Fleet, FleetOptions, answers, put_configuration, timed_key, wait_for};
 
 struct Case {
     name: &'static str,
@@ -147,7 +147,7 @@
 #[tokio::test]
 async fn new_configuration_comes_into_force_and_an_older_one_does_not() {
     let fleet = Fleet::start(FleetOptions::new(2, 1)).await;
-    let order = fleet.order(0, "/order", "key-1").await;
+    let order = fleet.order(0, "/order", &timed_key("first")).await;
     assert_eq!(order.status(), StatusCode::OK);
     for (written, in_force) in [(5, 5), (3, 5), (6, 6)] {
         put_configuration(fleet.store.address(), &answers(&fleet.backends), written).await;
--- a/ibiscroft-wire/src/claim_records.rs
+++ b/ibiscroft-wire/src/claim_records.rs
@@ -1,5 +1,7 @@
 //! Conversions between the stored claim pages and the core's types.
 
+use std::fmt::Write;
+
 use ibiscroft_core::claims::{
     ClaimNonce, ClaimRecord, ClaimState, Fingerprint, KeptAnswer, Page, PageId, UnixMillis,
 };
@@ -25,7 +27,7 @@
 ///
 /// # Errors
 ///
-/// Returns the first finished claim without answer.
+/// Returns the first finished claim without a usable answer.
 pub fn claim_page(record: ClaimPageRecord) -> Result<Page, Fault> {
     let mut records = Vec::with_capacity(record.claims.len());
     for (index, entry) in record.claims.into_iter().enumerate() {
@@ -52,18 +54,21 @@
 
 fn claim_answer(answer: &KeptAnswer) -> ClaimAnswer {
     let content_type = Some(answer.content_type.clone()).filter(|text| !text.is_empty());
-    ClaimAnswer { status: answer.status, content_type, body: answer.body.clone() }
+    let (body, body_hex) = match answer.body.clone().map(String::from_utf8) {
+        None => (None, None),
+        Some(Ok(text)) => (Some(text), None),
+        Some(Err(error)) => (None, Some(hex(error.as_bytes()))),
+    };
+    ClaimAnswer { status: answer.status, content_type, body, body_hex }
 }
 
 fn claim_record(entry: ClaimEntry, index: usize) -> Result<ClaimRecord, Fault> {
     let state = match (entry.state, entry.answer) {
         (ClaimEntryState::Claimed, _) => ClaimState::Claimed,
         (ClaimEntryState::Unknown, _) => ClaimState::Unknown,
-        (ClaimEntryState::Finished, Some(answer)) => ClaimState::Finished(KeptAnswer {
-            status: answer.status,
-            content_type: answer.content_type.unwrap_or_default(),
-            body: answer.body,
-        }),
+        (ClaimEntryState::Finished, Some(answer)) => {
+            ClaimState::Finished(kept_answer(answer, index)?)
+        }
         (ClaimEntryState::Finished, None) => {
             return Err(Fault::new(
                 format!("/claims/{index}/answer"),
@@ -79,3 +84,33 @@
         state,
     })
 }
+
+fn kept_answer(answer: ClaimAnswer, index: usize) -> Result<KeptAnswer, Fault> {
+    let body = match (answer.body, answer.body_hex) {
+        (Some(text), _) => Some(text.into_bytes()),
+        (None, Some(digits)) => Some(bytes(&digits).ok_or_else(|| {
+            Fault::new(format!("/claims/{index}/answer/body_hex"), "not pairs of digits")
+        })?),
+        (None, None) => None,
+    };
+    let content_type = answer.content_type.unwrap_or_default();
+    Ok(KeptAnswer { status: answer.status, content_type, body })
+}
+
+fn hex(bytes: &[u8]) -> String {
+    let mut digits = String::with_capacity(2 * bytes.len());
+    for byte in bytes {
+        let _ = write!(digits, "{byte:02x}");
+    }
+    digits
+}
+
+fn bytes(digits: &str) -> Option<Vec<u8>> {
+    if !digits.is_ascii() || !digits.len().is_multiple_of(2) {
+        return None;
+    }
+    (0..digits.len())
+        .step_by(2)
+        .map(|at| u8::from_str_radix(&digits[at..at + 2], 16).ok())
+        .collect()
+}
--- a/ibiscroft-wire/tests/it/claim_records.rs
+++ b/ibiscroft-wire/tests/it/claim_records.rs
@@ -26,7 +26,12 @@
         ClaimState::Finished(KeptAnswer {
             status: 599,
             content_type: "application/json; charset=\"utf-8\"".to_string(),
-            body: Some(body),
+            body: Some(body.into_bytes()),
+        }),
+        ClaimState::Finished(KeptAnswer {
+            status: 200,
+            content_type: String::new(),
+            body: Some((0..=255).collect()),
         }),
         ClaimState::Finished(KeptAnswer { status: 201, content_type: String::new(), body: None }),
     ]
@@ -50,12 +55,34 @@
     }
 }
 
+struct FaultCase {
+    answer: &'static str,
+    path: &'static str,
+}
+
+const FAULT_CASES: &[FaultCase] = &[
+    FaultCase { answer: "", path: "/claims/0/answer" },
+    FaultCase {
+        answer: r#","answer":{"status":200,"body_hex":"abc"}"#,
+        path: "/claims/0/answer/body_hex",
+    },
+    FaultCase {
+        answer: r#","answer":{"status":200,"body_hex":"xy"}"#,
+        path: "/claims/0/answer/body_hex",
+    },
+];
+
 #[test]
-fn a_finished_claim_without_answer_is_refused() {
-    let text = r#"{"claims":[{"key":"k","fingerprint":1,"nonce":2,"expires_at_ms":3,
-        "state":"finished"}]}"#;
-    let fault = claim_page(codec::from_json(text).unwrap()).unwrap_err();
-    assert_eq!(fault.path, "/claims/0/answer");
+fn a_finished_claim_needs_a_usable_answer() {
+    for case in FAULT_CASES {
+        let text = format!(
+            r#"{{"claims":[{{"key":"k","fingerprint":1,"nonce":2,"expires_at_ms":3,
+            "state":"finished"{}}}]}}"#,
+            case.answer
+        );
+        let fault = claim_page(codec::from_json(&text).unwrap()).unwrap_err();
+        assert_eq!(fault.path, case.path, "{}", case.answer);
+    }
 }
 
 #[test]
