--- /dev/null
+++ b/ibiscroft-gateway/src/snapshot.rs
@@ -0,0 +1,42 @@
+//! The immutable view of control state that traffic threads read.
+
+use std::sync::Arc;
+
+use ibiscroft_core::budget::ServiceBudget;
+use ibiscroft_core::config::Service;
+use ibiscroft_core::ids::Generation;
+use ibiscroft_core::selection::Pool;
+
+/// What the control thread last published.
+#[derive(Debug)]
+pub(crate) struct Snapshot {
+    /// Generation of the configuration in force; 0 means none.
+    pub(crate) generation: Generation,
+    /// Services in routing order.
+    pub(crate) services: Vec<Arc<ServiceView>>,
+}
+
+/// One service with its targets.
+#[derive(Debug)]
+pub(crate) struct ServiceView {
+    /// The service as configured.
+    pub(crate) service: Service,
+    /// Targets with their state and load.
+    pub(crate) pool: Pool,
+    /// Retries of the service at this gateway, shared with earlier and later views.
+    pub(crate) budget: Arc<ServiceBudget>,
+}
+
+impl Snapshot {
+    /// Returns the view before any configuration is in force.
+    pub(crate) fn empty() -> Self {
+        Self { generation: Generation(0), services: Vec::new() }
+    }
+
+    /// Returns the service that a request belongs to.
+    pub(crate) fn route(&self, host: &str, path: &str) -> Option<&Arc<ServiceView>> {
+        self.services
+            .iter()
+            .find(|view| view.service.routes.iter().any(|route| route.matches(host, path)))
+    }
+}
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -1,1 +1,6 @@
-//! Tests of ibiscroft-gateway.
+//! Tests of the gateway.
+
+mod catalogues;
+mod settings;
+mod support;
+mod whole_path;
