--- a/ibiscroft-lab/src/cli.rs
+++ b/ibiscroft-lab/src/cli.rs
@@ -1,5 +1,6 @@
 //! Command line.
 
+mod control_cost;
 mod demo;
 mod load;
 mod serve;
@@ -27,6 +28,8 @@
     Store(serve::StoreArguments),
     #[options(help = "run a stand-in backend server")]
     Backend(serve::BackendArguments),
+    #[options(help = "measure what control costs each gateway")]
+    ControlCost(control_cost::ControlCostArguments),
     #[options(help = "send calls at a fixed rate")]
     Load(load::LoadArguments),
     #[options(help = "run the whole system while servers and a zone leave")]
@@ -45,6 +48,7 @@
         Some(Command::Backend(arguments)) => serve::backend(arguments).await?,
         Some(Command::Load(arguments)) => load::load(arguments).await?,
         Some(Command::Demo(arguments)) => return demo::demo(arguments).await,
+        Some(Command::ControlCost(arguments)) => control_cost::run(arguments).await?,
         None => bail!("no command given\n\n{}", Arguments::usage()),
     }
     Ok(ExitCode::SUCCESS)
--- a/ibiscroft-lab/src/lib.rs
+++ b/ibiscroft-lab/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod backend;
 pub mod cli;
+pub mod control_cost;
 pub mod demo;
 pub mod judge;
 pub mod load;
