--- a/ibiscroft-lab/src/demo.rs
+++ b/ibiscroft-lab/src/demo.rs
@@ -93,7 +93,10 @@
     let entries = fleet.entries();
     println!("\nThe system keeps running; Ctrl-C ends it. Try:");
     println!("  curl -i 'http://{}/register/leather?bytes=100'", entries[0]);
-    println!("  curl -i -X POST -H 'Idempotency-Key: order-1' http://{}/stamp-orders", entries[1]);
+    println!(
+        "  curl -i -X POST -H \"Idempotency-Key: $(date +%s%3N)-a\" http://{}/stamp-orders",
+        entries[1]
+    );
     for (name, operators) in fleet.operators() {
         println!("  curl http://{operators}/dump    # state of {name}");
     }
--- a/ibiscroft-lab/src/load.rs
+++ b/ibiscroft-lab/src/load.rs
@@ -22,6 +22,7 @@
 use caller::Caller;
 use plan::Planned;
 
+pub use caller::order_key;
 pub use mix::{CallKind, WorkDistribution};
 pub use options::LoadOptions;
 pub use outcome::Outcome;
