fix(lab): idempotency keys of the load tool begin with their time

Cause: the demo's 980 orders were all refused as not run: the gateway takes only keys that carry a time (UUID version 7 or 13 digits of milliseconds), and the load tool's keys began with a process id. Ruled out: weakening the check; a key without a time can't be told from one that is older than claims are kept. Change: the prefix of a run begins with its time.

--- a/ibiscroft-lab/src/load/options.rs
+++ b/ibiscroft-lab/src/load/options.rs
@@ -1,7 +1,7 @@
 //! Options of a load run and their bounds.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use eyre::{Result, bail, ensure};
 
@@ -50,7 +50,7 @@
             seed: 1,
             mix: vec![CallKind::get("get", "/")],
             timeout: Duration::from_secs(10),
-            run: format!("{:x}", std::process::id()),
+            run: run_name(),
         }
     }
 
@@ -84,3 +84,9 @@
         Ok(())
     }
 }
+
+/// Returns a prefix for this run; idempotency keys must begin with their time.
+fn run_name() -> String {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    format!("{:013}-{:x}", since_epoch.as_millis(), std::process::id())
+}
