feat(lab): added-latency compares calls through a gateway with direct calls

Cause: the added time must be measured in paired runs on the real path. Ruled out: a difference of two separate runs, which says nothing on a shared machine; the tool alternates direct and gateway parts and counts the gateway's processor time a call beside the latencies. Change: a subcommand; the fleet of control-cost is shared by both, child processes by process::Process.

--- a/ibiscroft-lab/src/cli.rs
+++ b/ibiscroft-lab/src/cli.rs
@@ -1,5 +1,6 @@
 //! Command line.
 
+mod added_latency;
 mod control_cost;
 mod demo;
 mod load;
@@ -30,6 +31,8 @@
     Backend(serve::BackendArguments),
     #[options(help = "measure what control costs each gateway")]
     ControlCost(control_cost::ControlCostArguments),
+    #[options(help = "compare calls through a gateway with direct calls")]
+    AddedLatency(added_latency::AddedLatencyArguments),
     #[options(help = "send calls at a fixed rate")]
     Load(load::LoadArguments),
     #[options(help = "run the whole system while servers and a zone leave")]
@@ -49,6 +52,7 @@
         Some(Command::Load(arguments)) => load::load(arguments).await?,
         Some(Command::Demo(arguments)) => return demo::demo(arguments).await,
         Some(Command::ControlCost(arguments)) => control_cost::run(arguments).await?,
+        Some(Command::AddedLatency(arguments)) => added_latency::run(arguments).await?,
         None => bail!("no command given\n\n{}", Arguments::usage()),
     }
     Ok(ExitCode::SUCCESS)
--- a/ibiscroft-lab/src/control_cost.rs
+++ b/ibiscroft-lab/src/control_cost.rs
@@ -1,16 +1,14 @@
 //! Measures what control costs each gateway at several numbers of gateways and targets.
 
-mod fleet;
-mod process;
-mod usage;
+mod idle_targets;
 
 use std::time::Duration;
 
 use eyre::Result;
 use serde::Serialize;
 
-use fleet::Fleet;
-use usage::Usage;
+use crate::measured_fleet::{FleetSize, MeasuredFleet, Usage};
+use idle_targets::IdleTargets;
 
 /// Time after readiness before the measurement begins.
 const SETTLE: Duration = Duration::from_secs(5);
@@ -65,7 +63,9 @@
 }
 
 async fn measure(gateways: usize, targets: usize, span: Duration) -> Result<ControlCost> {
-    let fleet = Fleet::start(gateways, targets).await?;
+    let targets_held = IdleTargets::start(targets).await?;
+    let size = FleetSize { gateways, traffic_threads: 1 };
+    let fleet = MeasuredFleet::start(size, targets_held.addresses()).await?;
     tokio::time::sleep(SETTLE).await;
     let before = fleet.usage().await?;
     let counters_before = fleet.store.counters();
--- a/ibiscroft-lab/src/control_cost/fleet.rs
+++ b/ibiscroft-lab/src/measured_fleet.rs
@@ -1,19 +1,20 @@
-//! A fleet without traffic: a store, listeners in place of targets, and gateways.
+//! A store in this process and gateways as processes, for measurements.
+
+mod gateway;
+mod usage;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use eyre::{Result, bail, eyre};
+use gateway::Gateway;
 use ibiscroft_core::ids::{ChangeId, Generation};
 use ibiscroft_wire::generated::store::PutRequest;
 use ibiscroft_wire::{codec, keys, questionnaire, records};
 use serde_json::{Value, json};
-use tokio::io::AsyncReadExt;
-use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
 
-use super::process::GatewayProcess;
-use super::usage::Usage;
+pub(crate) use usage::Usage;
+
 use crate::store::{RunningStore, Store, StoreOptions};
 
 /// Availability zones, taken in turn.
@@ -25,49 +26,63 @@
 /// Pause between looks.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
-pub(super) struct Fleet {
-    pub(super) store: RunningStore,
-    gateways: Vec<GatewayProcess>,
-    targets: Vec<JoinHandle<()>>,
+/// Sizes of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FleetSize {
+    /// Gateways.
+    pub(crate) gateways: usize,
+    /// Traffic threads of each gateway.
+    pub(crate) traffic_threads: usize,
+}
+
+/// A store and gateways; the caller brings the targets.
+#[derive(Debug)]
+pub(crate) struct MeasuredFleet {
+    /// The store.
+    pub(crate) store: RunningStore,
+    gateways: Vec<Gateway>,
     http: reqwest::Client,
 }
 
-impl Fleet {
+impl MeasuredFleet {
     /// Starts everything and waits until each gateway is ready.
-    pub(super) async fn start(gateways: usize, targets: usize) -> Result<Self> {
+    pub(crate) async fn start(size: FleetSize, targets: &[SocketAddr]) -> Result<Self> {
         let store = Store::start(StoreOptions::default()).await?;
-        let mut tasks = Vec::new();
-        let mut addresses = Vec::new();
-        for _ in 0..targets {
-            let listener = TcpListener::bind("127.0.0.1:0").await?;
-            addresses.push(listener.local_addr()?);
-            tasks.push(tokio::spawn(hold_connections(listener)));
-        }
         let http = reqwest::Client::builder().no_proxy().build()?;
-        put_configuration(&http, store.address(), &addresses).await?;
+        put_configuration(&http, store.address(), targets).await?;
         let mut processes = Vec::new();
-        for index in 0..gateways {
+        for index in 0..size.gateways {
             let zone = ZONES[index % ZONES.len()];
-            processes.push(GatewayProcess::start(index, zone, store.address()).await?);
+            let started = Gateway::start(index, zone, store.address(), size.traffic_threads);
+            processes.push(started.await?);
         }
-        let fleet = Self { store, gateways: processes, targets: tasks, http };
+        let fleet = Self { store, gateways: processes, http };
         for gateway in &fleet.gateways {
-            fleet.wait_ready(gateway.operators).await?;
+            fleet.wait_ready(gateway.addresses.operators).await?;
         }
         Ok(fleet)
     }
 
     /// Reads what each gateway has used.
-    pub(super) async fn usage(&self) -> Result<Vec<Usage>> {
+    pub(crate) async fn usage(&self) -> Result<Vec<Usage>> {
         let mut usages = Vec::new();
         for gateway in &self.gateways {
-            let url = format!("http://{}/metrics", gateway.operators);
-            let metrics = self.http.get(url).send().await?.text().await?;
-            usages.push(Usage::read(gateway.pid()?, &metrics)?);
+            let metrics = self.metrics(gateway).await?;
+            usages.push(Usage::read(gateway.process.id()?, &metrics)?);
         }
         Ok(usages)
     }
 
+    /// Returns the gateways' addresses for callers.
+    pub(crate) fn entries(&self) -> Vec<SocketAddr> {
+        self.gateways.iter().map(|gateway| gateway.addresses.callers).collect()
+    }
+
+    async fn metrics(&self, gateway: &Gateway) -> Result<String> {
+        let url = format!("http://{}/metrics", gateway.addresses.operators);
+        Ok(self.http.get(url).send().await?.text().await?)
+    }
+
     async fn wait_ready(&self, operators: SocketAddr) -> Result<()> {
         let url = format!("http://{operators}/readyz");
         for _ in 0..READY_LOOKS {
@@ -81,24 +96,6 @@
     }
 }
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        for task in &self.targets {
-            task.abort();
-        }
-    }
-}
-
-/// Accepts connections and holds each until the other side closes it.
-async fn hold_connections(listener: TcpListener) {
-    while let Ok((mut stream, _)) = listener.accept().await {
-        tokio::spawn(async move {
-            let mut buf = [0; 256];
-            while stream.read(&mut buf).await.is_ok_and(|count| count > 0) {}
-        });
-    }
-}
-
 async fn put_configuration(
     http: &reqwest::Client,
     store: SocketAddr,
@@ -125,7 +122,7 @@
                 "name": format!("t-{number}-{index}"),
                 "address": address,
                 "availability_zone": ZONES[index % ZONES.len()],
-                "slots": 6,
+                "slots": 200,
                 "connections": 200,
             }));
         }
@@ -133,11 +130,11 @@
             "name": format!("service-{number}"),
             "routes": [{ "path_prefix": format!("/{number}") }],
             "callers_wait_ms": 2_000,
-            "cold_target_bears": 2,
-            "cold_lasts_ms": 5_000,
+            "cold_target_bears": 200,
+            "cold_lasts_ms": 1,
             "measuring_per_second": 1,
             "targets": members,
         }));
     }
-    json!({ "organisation": "cost of control", "availability_zones": ZONES, "services": services })
+    json!({ "organisation": "measurement", "availability_zones": ZONES, "services": services })
 }
--- a/ibiscroft-lab/src/control_cost/usage.rs
+++ b/ibiscroft-lab/src/measured_fleet/usage.rs
@@ -11,20 +11,27 @@
 
 /// Use of one process since its start.
 #[derive(Clone, Debug)]
-pub(super) struct Usage {
-    pub(super) control_seconds: f64,
-    pub(super) resident_kb: f64,
-    pub(super) peer_sent_bytes: f64,
-    pub(super) peer_received_bytes: f64,
+pub(crate) struct Usage {
+    /// Processor time of the control thread, in seconds.
+    pub(crate) control_seconds: f64,
+    /// Processor time of all threads, in seconds.
+    pub(crate) process_seconds: f64,
+    /// Resident memory, in kilobytes.
+    pub(crate) resident_kb: f64,
+    /// Payload sent to other gateways, in bytes.
+    pub(crate) peer_sent_bytes: f64,
+    /// Payload received from other gateways, in bytes.
+    pub(crate) peer_received_bytes: f64,
 }
 
 impl Usage {
     /// Reads the use of process `pid`, whose metrics are `metrics`.
-    pub(super) fn read(pid: u32, metrics: &str) -> Result<Self> {
+    pub(crate) fn read(pid: u32, metrics: &str) -> Result<Self> {
         let metrics = parse_metrics(metrics);
         let metric = |name: &str| metrics.get(name).copied().unwrap_or(0.0);
         Ok(Self {
-            control_seconds: main_thread_seconds(pid)?,
+            control_seconds: processor_seconds(&format!("/proc/{pid}/task/{pid}/stat"))?,
+            process_seconds: processor_seconds(&format!("/proc/{pid}/stat"))?,
             resident_kb: resident_kb(pid)?,
             peer_sent_bytes: metric("ibiscroft_peer_sent_bytes_total"),
             peer_received_bytes: metric("ibiscroft_peer_received_bytes_total"),
@@ -32,10 +39,11 @@
     }
 }
 
-/// Returns the processor time of the main thread, which is a gateway's control thread.
-fn main_thread_seconds(pid: u32) -> Result<f64> {
-    let path = format!("/proc/{pid}/task/{pid}/stat");
-    let stat = std::fs::read_to_string(&path).wrap_err(path)?;
+/// Returns the processor time in a state file of the kernel.
+///
+/// The main thread of a gateway, whose thread id is the process id, is its control thread.
+fn processor_seconds(path: &str) -> Result<f64> {
+    let stat = std::fs::read_to_string(path).wrap_err_with(|| path.to_string())?;
     let fields: Vec<&str> =
         stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
     let ticks = |index: usize| -> Result<f64> {
--- a/ibiscroft-lab/src/process.rs
+++ b/ibiscroft-lab/src/process.rs
@@ -80,6 +80,15 @@
         &self.name
     }
 
+    /// Returns the process id.
+    ///
+    /// # Errors
+    ///
+    /// Returns that the process has ended.
+    pub fn id(&self) -> Result<u32> {
+        self.child.id().ok_or_else(|| eyre!("{} has ended", self.name))
+    }
+
     /// Kills the process with SIGKILL and waits for its end.
     ///
     /// # Errors
@@ -95,9 +104,7 @@
     ///
     /// Returns why the signal cannot be sent.
     pub async fn terminate(&self) -> Result<()> {
-        let Some(id) = self.child.id() else {
-            bail!("{} has ended", self.name);
-        };
+        let id = self.id()?;
         let status = Command::new("kill").arg("-TERM").arg(id.to_string()).status().await?;
         if !status.success() {
             bail!("cannot send SIGTERM to {}", self.name);
