feat(core): registers that only rise, gossip, freshness and leaving targets

A gateway that was paused, a store that comes back with older data and a lagging instance list must not bring back what operators or targets ended.

Change: `register` keeps the newest by (generation, change id) and writes it back by compare-and-swap when the store is older, paced by rank so that one gateway writes. `gossip` pings five neighbours (two in a ring, others by rendezvous, more while some are silent) with a digest of what is in force. `freshness` gives the instant after which no new work is sent; a proof counts from the call that asked for it. After a start or a pause the store counts only beside a peer's word. `leaving` ends each cause only by a proof of its own.

Ruled out: proofs from the arrival of an answer (it may have waited through a pause); a majority of peers (the survivors of an outage could no longer serve); a wait of a fixed time at the peer before a configuration is sent (a resumed gateway served an old one for 50 ms too long, found by the state machine; now the age of the newer one counts); word of refused connections to peers (one gateway with a broken network would take all targets out).

Found by the state machine and mended: pongs to pings from before a pause counted as a peer's word; a gateway paused while starting trusted the store at once; a change that the store accepted and lost before any gateway saw it reverted, so the operators' tool has to hand it to the gateways.

Seen failing with the rule broken on purpose: order of registers, proofs from arrival, deadline always extended, no gossip, no repair, store alone trusted after a pause (state machine and traces); proof by a peer that was paused or has newer registers, isolation, and the causes of leaving (table tests).

--- a/ibiscroft-core/tests/it/leaving.rs
+++ b/ibiscroft-core/tests/it/leaving.rs
@@ -1,1 +1,133 @@
 //! Tests of `leaving`.
+
+use ibiscroft_core::Tick;
+use ibiscroft_core::ids::{RunId, TargetName};
+use ibiscroft_core::leaving::{LeavingTargets, Sighting};
+
+fn answer(run: &str, draining: bool, asked_at: u64) -> Sighting {
+    Sighting::Answer { run: RunId::new(run), draining, asked_at: Tick::from_millis(asked_at) }
+}
+
+fn word(run: &str) -> Sighting {
+    Sighting::PeerWord { run: RunId::new(run) }
+}
+
+const fn listed(leaving: bool) -> Sighting {
+    Sighting::Listed { leaving }
+}
+
+/// Sightings, one every 10 ms from 10 ms on, and whether the target leaves after the last.
+struct Case {
+    name: &'static str,
+    sightings: Vec<Sighting>,
+    is_leaving: bool,
+}
+
+#[test]
+fn a_target_leaves_on_any_word_and_returns_on_proof() {
+    let cases = [
+        Case { name: "serving", sightings: vec![answer("a", false, 1)], is_leaving: false },
+        Case { name: "drains", sightings: vec![answer("a", true, 1)], is_leaving: true },
+        Case { name: "a peer's word", sightings: vec![word("a")], is_leaving: true },
+        Case { name: "refused", sightings: vec![Sighting::Refused], is_leaving: true },
+        Case { name: "listed", sightings: vec![listed(true)], is_leaving: true },
+        Case {
+            name: "an answer to an earlier request proves nothing",
+            sightings: vec![answer("a", true, 1), answer("a", false, 9)],
+            is_leaving: true,
+        },
+        Case {
+            name: "an answer of an older run proves nothing",
+            sightings: vec![answer("b", true, 1), answer("a", false, 9)],
+            is_leaving: true,
+        },
+        Case {
+            name: "the same run serves again",
+            sightings: vec![answer("a", true, 1), answer("a", false, 11)],
+            is_leaving: false,
+        },
+        Case {
+            name: "a newer run serves",
+            sightings: vec![answer("a", true, 1), answer("b", false, 11)],
+            is_leaving: false,
+        },
+        Case {
+            name: "late word of the replaced run",
+            sightings: vec![answer("a", true, 1), answer("b", false, 11), word("a")],
+            is_leaving: false,
+        },
+        Case {
+            name: "the newer run drains too",
+            sightings: vec![answer("a", true, 1), answer("b", false, 11), word("b")],
+            is_leaving: true,
+        },
+        Case {
+            name: "the lagging list still says live",
+            sightings: vec![answer("a", true, 1), listed(false)],
+            is_leaving: true,
+        },
+        Case {
+            name: "listed as leaving, its answers do not bring it back",
+            sightings: vec![answer("a", false, 1), listed(true), answer("a", false, 21)],
+            is_leaving: true,
+        },
+        Case {
+            name: "listed as leaving, replaced meanwhile",
+            sightings: vec![answer("a", false, 1), listed(true), answer("b", false, 21)],
+            is_leaving: false,
+        },
+        Case {
+            name: "the list still lags after the replacement",
+            sightings: vec![
+                answer("a", false, 1),
+                listed(true),
+                answer("b", false, 21),
+                listed(true),
+            ],
+            is_leaving: false,
+        },
+        Case {
+            name: "listed as live again",
+            sightings: vec![listed(true), listed(false)],
+            is_leaving: false,
+        },
+        Case {
+            name: "refused, then answers",
+            sightings: vec![Sighting::Refused, answer("a", false, 11)],
+            is_leaving: false,
+        },
+        Case {
+            name: "refused, an earlier request still ends well",
+            sightings: vec![Sighting::Refused, answer("a", false, 9)],
+            is_leaving: true,
+        },
+    ];
+    for case in cases {
+        let target = TargetName::new("register-01");
+        let mut leaving = LeavingTargets::default();
+        let mut at = 0;
+        for sighting in &case.sightings {
+            at += 10;
+            leaving.on_sighting(&target, sighting, Tick::from_millis(at));
+        }
+        assert_eq!(leaving.is_leaving(&target), case.is_leaving, "{}", case.name);
+        assert_eq!(leaving.leaving().count(), usize::from(case.is_leaving), "{}", case.name);
+    }
+}
+
+#[test]
+fn drain_signals_spread_once_and_other_causes_do_not() {
+    let target = TargetName::new("register-01");
+    let mut leaving = LeavingTargets::default();
+    let now = Tick::from_millis(10);
+    let run = RunId::new("a");
+    assert_eq!(leaving.on_sighting(&target, &Sighting::Refused, now), None);
+    assert_eq!(leaving.on_sighting(&target, &listed(true), now), None);
+    assert_eq!(leaving.on_sighting(&target, &answer("a", true, 1), now), Some(run.clone()));
+    assert_eq!(leaving.on_sighting(&target, &answer("a", true, 2), now), None);
+    assert_eq!(leaving.on_sighting(&target, &word("a"), now), None);
+    let draining: Vec<_> = leaving.draining().collect();
+    assert_eq!(draining, [(&target, &run)]);
+    leaving.retain(|_| false);
+    assert!(!leaving.is_leaving(&target));
+}
--- a/ibiscroft-core/tests/it/main.rs
+++ b/ibiscroft-core/tests/it/main.rs
@@ -3,6 +3,8 @@
 mod admission;
 mod budget;
 mod claims;
+mod cluster;
+mod freshness;
 mod gossip;
 mod integrity;
 mod leaving;
@@ -10,5 +12,6 @@
 mod permits;
 mod quarantine;
 mod register;
+mod registers;
 mod roster;
 mod selection;
