feat(gateway): registers, gossip and freshness from the core

The simple form pinged every gateway, forgot a store that came back older, and a gateway that was paused sent work on the zone state from before the pause.

Change: the registers controller drives the core's state machine and writes a newer record back to an older store. Control publishes until when the registers may be relied on; each try waits for it (at most 2 s, then `not-ready`, not run) and takes the present view. The watch reads everything again after a failed call. Idle connections between gateways are kept by WebSocket pings, as only neighbours exchange digests now. `POST /registers` on the operators' listener takes records that the store accepted, for a store that dies right after. Leaving targets come from the core.

Ruled out: refusing at once while unproven (a resumed gateway would refuse what it can serve some milliseconds later); overwriting an unusable record (it may come from a newer version).

--- a/ibiscroft-gateway/src/backend_client.rs
+++ b/ibiscroft-gateway/src/backend_client.rs
@@ -8,6 +8,7 @@
 use futures_util::{Stream, StreamExt, stream};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use ibiscroft_core::Tick;
+use ibiscroft_core::ids::RunId;
 use ibiscroft_core::selection::{Candidate, InFlight};
 use ibiscroft_wire::{ErrorKind, headers};
 use reqwest::{Client, Response};
@@ -39,8 +40,8 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Option<Response>,
-    /// Whether the target said that it drains.
-    pub(crate) draining: bool,
+    /// The run that said that it drains; empty when it was not named.
+    pub(crate) draining: Option<RunId>,
 }
 
 impl Sent {
@@ -61,8 +62,8 @@
     NotSent(String),
     /// The target refused the request without running it.
     Shed {
-        /// Whether the target said that it drains.
-        draining: bool,
+        /// The run that said that it drains; empty when it was not named.
+        draining: Option<RunId>,
     },
     /// The request may have run.
     Unknown(ErrorKind, String),
@@ -146,7 +147,9 @@
 fn check_answer(ex: &Exchange, res: Response) -> Result<Sent, SendError> {
     let status = res.status();
     let mut headers = res.headers().clone();
-    let draining = text(&headers, headers::TARGET_STATE) == Some("draining");
+    let is_draining = text(&headers, headers::TARGET_STATE) == Some("draining");
+    let run = text(&headers, headers::RUN_ID).unwrap_or_default();
+    let draining = is_draining.then(|| RunId::new(run));
     let echoed = text(&headers, headers::REQUEST_ID);
     if echoed.is_some_and(|found| found != ex.request_id.as_str()) {
         let detail = "the answer carries another request's id";
--- a/ibiscroft-gateway/src/control.rs
+++ b/ibiscroft-gateway/src/control.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::ids::{InstanceName, TargetName};
+use ibiscroft_core::ids::{InstanceName, RunId, TargetName};
+use ibiscroft_core::leaving::Sighting;
 use ibiscroft_platform::{StoreClient, StoreError};
 use ibiscroft_wire::generated::peer::PeerMessage;
 use ibiscroft_wire::generated::store::WatchAnswer;
@@ -23,15 +24,23 @@
 use crate::shared::Shared;
 
 /// Interval of periodic work.
-const TICK: Duration = Duration::from_millis(250);
-/// Interval of pings to other gateways.
-const PING_INTERVAL: Duration = Duration::from_secs(1);
+const TICK: Duration = Duration::from_millis(50);
+
+/// Sender of records that an operator handed over; no instance has this name.
+const OPERATOR: &str = "(operator)";
 
 /// Something that happened outside the control thread's own state.
 #[derive(Debug)]
 pub(crate) enum ControlEvent {
     /// The store answered a watch.
-    Watch(WatchAnswer),
+    Watch {
+        /// The answer.
+        answer: WatchAnswer,
+        /// Whether it lists everything instead of changes.
+        is_full: bool,
+        /// When the watch was sent.
+        sent_at: Tick,
+    },
     /// A watch failed.
     WatchFailed(StoreError),
     /// The instance's own lease changed.
@@ -45,6 +54,13 @@
 pub(crate) enum ControlCommand {
     /// Describes the state of the process.
     Dump(oneshot::Sender<Value>),
+    /// Takes records that the store accepted, and describes what is in force then.
+    Registers {
+        /// The records.
+        message: PeerMessage,
+        /// Where to send the description.
+        answer: oneshot::Sender<Value>,
+    },
     /// Gives up the lease before a planned stop.
     Leave(oneshot::Sender<()>),
 }
@@ -71,7 +87,6 @@
     peers: Peers,
     claims: ClaimsHandle,
     store_lost: bool,
-    next_ping: Tick,
 }
 
 impl Control {
@@ -84,7 +99,11 @@
         events: mpsc::UnboundedSender<ControlEvent>,
     ) -> Self {
         Self {
-            registers: Registers::default(),
+            registers: Registers::new(
+                Arc::clone(&shared),
+                store.clone(),
+                settings.instance.clone(),
+            ),
             targets: Targets::default(),
             roster: Roster::start(Rc::clone(&settings), Arc::clone(&shared), store, &events),
             peers: Peers::new(Arc::clone(&shared), settings.instance.clone(), events),
@@ -92,7 +111,6 @@
             shared,
             settings,
             store_lost: false,
-            next_ping: Tick::ZERO,
         }
     }
 
@@ -114,34 +132,33 @@
 
     fn on_event(&mut self, event: ControlEvent) {
         match event {
-            ControlEvent::Watch(answer) => self.on_watch(&answer),
+            ControlEvent::Watch { answer, is_full, sent_at } => {
+                self.on_watch(&answer, is_full, sent_at);
+            }
             ControlEvent::WatchFailed(error) => self.on_watch_failed(&error),
             ControlEvent::Lease(lease) => self.roster.on_lease(&lease),
             ControlEvent::Peer(peer) => self.on_peer(peer),
         }
     }
 
-    fn on_watch(&mut self, answer: &WatchAnswer) {
+    fn on_watch(&mut self, answer: &WatchAnswer, is_full: bool, sent_at: Tick) {
         if std::mem::take(&mut self.store_lost) {
             event!(StoreBack, "revision {}", answer.revision);
         }
         for entry in &answer.entries {
-            if self.roster.on_entry(entry) {
-                continue;
-            }
-            let Some(value) = &entry.value else {
-                continue;
-            };
-            self.registers.on_entry(&entry.key, value);
+            self.roster.on_entry(entry);
         }
         let members = self.roster.members();
         if !members.is_empty() {
             self.claims.set_gateways(members.len());
         }
+        self.registers.set_roster(members.keys().cloned().collect());
         self.peers.set_roster(members);
+        self.registers.on_watch(&answer.entries, is_full, sent_at, &mut self.peers);
     }
 
     fn on_watch_failed(&mut self, error: &StoreError) {
+        self.registers.on_store_lost();
         if !std::mem::replace(&mut self.store_lost, true) {
             event!(StoreLost, "{error}");
         }
@@ -149,56 +166,54 @@
 
     fn on_peer(&mut self, peer: PeerEvent) {
         match peer {
-            PeerEvent::Up { instance, link } => self.peers.on_up(instance, link),
+            PeerEvent::Up { instance, link } => {
+                self.peers.on_up(instance.clone(), link);
+                for (target, run) in self.targets.draining() {
+                    self.peers.send(&instance, &target_leaving(target, run));
+                }
+            }
             PeerEvent::Down { instance, id } => self.peers.on_down(&instance, id),
             PeerEvent::Message { instance, message } => self.on_message(&instance, message),
         }
     }
 
     fn on_message(&mut self, from: &InstanceName, message: PeerMessage) {
-        match message {
-            PeerMessage::Ping { nonce, configuration, zones } => {
-                let pong = PeerMessage::Pong {
-                    nonce,
-                    configuration: self.registers.configuration_generation().get(),
-                    zones: self.registers.zones_generation().get(),
-                };
-                self.peers.send(from, &pong);
-                self.send_newer_registers(from, configuration, zones);
-            }
-            PeerMessage::Pong { configuration, zones, .. } => {
-                self.send_newer_registers(from, configuration, zones);
-            }
-            PeerMessage::Registers { configuration, zones } => {
-                self.registers.on_peer_records(&configuration, &zones);
-            }
-            PeerMessage::TargetLeaving { target, .. } => {
-                self.targets.on_leaving(&TargetName::new(target));
-            }
-            _ => {}
+        if self.registers.on_message(from, &message, &mut self.peers) {
+            return;
         }
-    }
-
-    /// Sends the records that are newer here than at a peer.
-    fn send_newer_registers(&mut self, to: &InstanceName, configuration: u64, zones: u64) {
-        if let Some(message) = self.registers.newer_than(configuration, zones) {
-            self.peers.send(to, &message);
+        if let PeerMessage::TargetLeaving { target, run } = message {
+            let sighting = Sighting::PeerWord { run: RunId::new(run) };
+            self.on_sighting(&TargetName::new(target), &sighting, Some(from));
         }
     }
 
     fn on_observation(&mut self, seen: &Observation) {
         match seen {
-            Observation::Draining { target } => {
-                if !self.targets.on_leaving(target) {
-                    return;
-                }
-                let message =
-                    PeerMessage::TargetLeaving { target: target.to_string(), run: String::new() };
-                self.peers.broadcast(&message);
+            Observation::Draining { target, run, asked_at } => {
+                let (run, asked_at) = (run.clone(), *asked_at);
+                let sighting = Sighting::Answer { run, draining: true, asked_at };
+                self.on_sighting(target, &sighting, None);
             }
         }
     }
 
+    /// Takes what was seen of a target and passes news on to the neighbours.
+    fn on_sighting(
+        &mut self,
+        target: &TargetName,
+        sighting: &Sighting,
+        from: Option<&InstanceName>,
+    ) {
+        let now = self.shared.clock.now();
+        let Some(run) = self.targets.on_sighting(target, sighting, now) else {
+            return;
+        };
+        let message = target_leaving(target, &run);
+        for to in self.registers.audience(from) {
+            self.peers.send(&to, &message);
+        }
+    }
+
     async fn on_command(&mut self, command: ControlCommand) {
         match command {
             ControlCommand::Dump(answer) => {
@@ -206,6 +221,14 @@
                 state["claims"] = self.claims.dump().await;
                 let _ = answer.send(state);
             }
+            ControlCommand::Registers { message, answer } => {
+                let operator = InstanceName::new(OPERATOR);
+                self.registers.on_message(&operator, &message, &mut self.peers);
+                let _ = answer.send(json!({
+                    "configuration": self.registers.dump_configuration(),
+                    "zones": self.registers.dump_zones(),
+                }));
+            }
             ControlCommand::Leave(done) => {
                 self.roster.leave().await;
                 let _ = done.send(());
@@ -214,17 +237,7 @@
     }
 
     fn on_tick(&mut self) {
-        let now = self.shared.clock.now();
-        if now < self.next_ping {
-            return;
-        }
-        self.next_ping = now + PING_INTERVAL;
-        let ping = PeerMessage::Ping {
-            nonce: now.as_micros(),
-            configuration: self.registers.configuration_generation().get(),
-            zones: self.registers.zones_generation().get(),
-        };
-        self.peers.broadcast(&ping);
+        self.registers.on_tick(&mut self.peers);
     }
 
     fn publish_if_changed(&mut self) {
@@ -247,10 +260,11 @@
             "instance": self.settings.instance,
             "availability_zone": self.settings.zone,
             "run": self.shared.run,
-            "ready": self.shared.view().generation.get() > 0,
+            "ready": self.registers.is_ready(),
             "store_lost": self.store_lost,
             "configuration": self.registers.dump_configuration(),
             "zones": self.registers.dump_zones(),
+            "freshness": self.registers.dump_freshness(),
             "targets": self.targets.dump(&self.shared.view()),
             "roster": self.roster.dump(),
             "peers": self.peers.dump(),
@@ -258,6 +272,10 @@
     }
 }
 
+fn target_leaving(target: &TargetName, run: &RunId) -> PeerMessage {
+    PeerMessage::TargetLeaving { target: target.to_string(), run: run.to_string() }
+}
+
 fn gauge(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
--- a/ibiscroft-gateway/src/controllers/peers.rs
+++ b/ibiscroft-gateway/src/controllers/peers.rs
@@ -110,17 +110,6 @@
         }
     }
 
-    /// Sends a message to all connected gateways.
-    pub(crate) fn broadcast(&mut self, message: &PeerMessage) {
-        let Ok(frame) = codec::to_cbor(message) else {
-            return;
-        };
-        let frame = bytes::Bytes::from(frame);
-        for link in self.links.values() {
-            link.send(frame.clone());
-        }
-    }
-
     /// Describes the links.
     pub(crate) fn dump(&self) -> Value {
         let mut names: Vec<&InstanceName> = self.links.keys().collect();
--- a/ibiscroft-gateway/src/controllers/targets.rs
+++ b/ibiscroft-gateway/src/controllers/targets.rs
@@ -3,9 +3,11 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
+use ibiscroft_core::Tick;
 use ibiscroft_core::budget::ServiceBudget;
 use ibiscroft_core::config::{Configuration, Service, Target, ZoneState};
-use ibiscroft_core::ids::{ServiceName, TargetName, ZoneName};
+use ibiscroft_core::ids::{RunId, ServiceName, TargetName, ZoneName};
+use ibiscroft_core::leaving::{LeavingTargets, Sighting};
 use ibiscroft_core::selection::{Candidate, Eligibility, LoadTable, Pool};
 use serde_json::{Value, json};
 
@@ -18,7 +20,7 @@
 pub(crate) struct Targets {
     loads: LoadTable,
     budgets: HashMap<ServiceName, Arc<ServiceBudget>>,
-    leaving: HashSet<TargetName>,
+    leaving: LeavingTargets,
     changed: bool,
 }
 
@@ -28,14 +30,30 @@
         std::mem::take(&mut self.changed)
     }
 
-    /// Notes that a target leaves; returns whether that is news.
-    pub(crate) fn on_leaving(&mut self, target: &TargetName) -> bool {
-        if !self.leaving.insert(target.clone()) {
-            return false;
+    /// Takes what was seen of a target; returns the draining run when peers have to be told.
+    pub(crate) fn on_sighting(
+        &mut self,
+        target: &TargetName,
+        sighting: &Sighting,
+        now: Tick,
+    ) -> Option<RunId> {
+        let was_leaving = self.leaving.is_leaving(target);
+        let news = self.leaving.on_sighting(target, sighting, now);
+        let is_leaving = self.leaving.is_leaving(target);
+        if is_leaving != was_leaving {
+            self.changed = true;
+            if is_leaving {
+                event!(TargetLeaving, "target {target}");
+            } else {
+                event!(TargetBack, "target {target}");
+            }
         }
-        event!(TargetLeaving, "target {target}");
-        self.changed = true;
-        true
+        news
+    }
+
+    /// Returns the runs that said that they drain.
+    pub(crate) fn draining(&self) -> impl Iterator<Item = (&TargetName, &RunId)> {
+        self.leaving.draining()
     }
 
     /// Makes the view for traffic threads from the registers and the state of targets.
@@ -103,7 +121,7 @@
         if zones.is_out(&target.zone) {
             return Eligibility::ZoneOut;
         }
-        if self.leaving.contains(&target.name) {
+        if self.leaving.is_leaving(&target.name) {
             return Eligibility::Leaving;
         }
         Eligibility::Warm
--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -34,6 +34,7 @@
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
 use crate::store_watch;
+use crate::validity::Validity;
 
 /// Longest time of one call to the key-value service.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -86,6 +87,7 @@
         run: RunId::new(format!("{:08x}", rand::random::<u32>())),
         clock: Clock::start(),
         snapshot: ArcSwap::from_pointee(Snapshot::empty()),
+        validity: Validity::default(),
         metrics: Metrics::new()?,
         observations: observation_tx,
     });
--- a/ibiscroft-gateway/src/events.rs
+++ b/ibiscroft-gateway/src/events.rs
@@ -53,6 +53,7 @@
     ConfigurationUnusable 2002 Error "A configuration record could not be used.",
     ZonesInForce 2003 Info "A zone state came into force.",
     OlderRegisterIgnored 2004 Warn "An older record was offered and ignored.",
+    StoreRepaired 2005 Warn "The store held an older record; the newer one is written back.",
     StoreLost 3001 Warn "The store stopped answering.",
     StoreBack 3002 Info "The store answers again.",
     LeaseGranted 3003 Info "The instance holds a lease and stands on the roster.",
@@ -60,6 +61,7 @@
     PeerUp 4001 Info "A connection to another gateway is up.",
     PeerDown 4002 Info "A connection to another gateway ended.",
     TargetLeaving 5001 Info "A target started leaving.",
+    TargetBack 5002 Info "A target that was leaving proved that it serves again.",
     ClaimPageUnusable 6001 Error "A claim page could not be used; orders with keys of that page are refused.",
     ClaimsUnflushed 6002 Warn "The gateway stopped before every order's outcome was recorded.",
 }
--- a/ibiscroft-gateway/src/filters/forward.rs
+++ b/ibiscroft-gateway/src/filters/forward.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ibiscroft_core::budget;
+use ibiscroft_core::ids::RunId;
 use ibiscroft_core::selection::{Candidate, Selection, Selector, Tried, TwoChoices};
 use ibiscroft_wire::ErrorKind;
 use rand::RngCore;
@@ -17,6 +18,11 @@
 /// Advice to callers when no target has room.
 const RETRY_AFTER_SHED: Duration = Duration::from_millis(200);
 
+/// Longest wait for a proof that the registers in force are the newest.
+const VALIDITY_WAIT: Duration = Duration::from_secs(2);
+/// Pause between looks at the validity.
+const VALIDITY_POLL: Duration = Duration::from_millis(5);
+
 /// Sends requests to targets.
 #[derive(Debug)]
 pub(crate) struct Forward {
@@ -33,8 +39,7 @@
 
     /// Offers the request to one target after the other until one answers.
     async fn attempts(&self, ex: &mut Exchange) -> Reply {
-        let service = Arc::clone(&ex.service);
-        service.budget.note_call();
+        ex.service.budget.note_call();
         let mut tried = Tried::default();
         let mut last: Option<Failure> = None;
         loop {
@@ -43,6 +48,11 @@
                 let detail = "the deadline passed before a target took the request";
                 return Err(Failure::new(ErrorKind::DeadlinePassed, detail));
             }
+            if let Err(failure) = self.refresh(ex, &mut tried).await {
+                return Err(last.unwrap_or(failure));
+            }
+            let service = Arc::clone(&ex.service);
+            let now = self.shared.clock.now();
             let selection = self.selector.select(&service.pool, &tried, now, &mut rand::rng());
             let index = match selection {
                 Selection::Warm(index) => index,
@@ -63,6 +73,31 @@
         }
     }
 
+    /// Takes the present view; waits a while for a proof that it is the newest.
+    ///
+    /// Targets that were tried are forgotten when the view changed, as its order may differ.
+    async fn refresh(&self, ex: &mut Exchange, tried: &mut Tried) -> Result<(), Failure> {
+        let begun = self.shared.clock.now();
+        let until = ex.deadline.min(begun + VALIDITY_WAIT);
+        while !self.shared.validity.holds(self.shared.clock.now()) {
+            if self.shared.clock.now() >= until {
+                let detail = "neither the store nor another gateway confirms the configuration";
+                let failure = Failure::new(ErrorKind::NotReady, detail);
+                return Err(failure.retry_after(RETRY_AFTER_SHED));
+            }
+            tokio::time::sleep(VALIDITY_POLL).await;
+        }
+        let view = self.shared.view();
+        let Some(present) = view.service(&ex.service.service.name) else {
+            return Err(Failure::new(ErrorKind::NoRoute, "the service was removed"));
+        };
+        if !Arc::ptr_eq(present, &ex.service) {
+            ex.service = Arc::clone(present);
+            *tried = Tried::default();
+        }
+        Ok(())
+    }
+
     async fn attempt(&self, ex: &mut Exchange, candidate: &Candidate) -> Result<Answer, SendError> {
         if let Some(key) = &ex.key {
             log::debug!("order {key} goes to {}", candidate.target.name);
@@ -73,9 +108,9 @@
         let sent = self.client.send(ex, candidate, begun).await;
         let now = self.shared.clock.now();
         ex.upstream_time += now.since(begun);
-        if is_draining(&sent) {
+        if let Some(run) = draining_run(&sent).cloned() {
             let target = candidate.target.name.clone();
-            self.shared.observe(Observation::Draining { target });
+            self.shared.observe(Observation::Draining { target, run, asked_at: begun });
         }
         match sent {
             Ok(sent) => {
@@ -102,11 +137,12 @@
     }
 }
 
-fn is_draining(sent: &Result<Sent, SendError>) -> bool {
+/// Returns the run that said in its answer that it drains.
+fn draining_run(sent: &Result<Sent, SendError>) -> Option<&RunId> {
     match sent {
-        Ok(sent) => sent.draining,
-        Err(SendError::Shed { draining }) => *draining,
-        Err(_) => false,
+        Ok(sent) => sent.draining.as_ref(),
+        Err(SendError::Shed { draining }) => draining.as_ref(),
+        Err(_) => None,
     }
 }
 
--- a/ibiscroft-gateway/src/lib.rs
+++ b/ibiscroft-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod shared;
 mod snapshot;
 mod store_watch;
+mod validity;
 
 pub mod claims;
 pub mod events;
--- a/ibiscroft-gateway/src/operator_server.rs
+++ b/ibiscroft-gateway/src/operator_server.rs
@@ -4,13 +4,18 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use http::{Method, StatusCode};
+use ibiscroft_wire::generated::peer::PeerMessage;
 use poem::{Endpoint, Request, Response};
+use serde_json::Value;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::control::ControlCommand;
 use crate::shared::Shared;
 
-/// Serves `/livez`, `/readyz`, `/metrics` and `/dump`.
+/// Largest body of records from an operator, in bytes.
+const MAX_RECORDS_BYTES: usize = 2 << 20;
+
+/// Serves `/livez`, `/readyz`, `/metrics` and `/dump`, and takes records at `/registers`.
 #[derive(Debug)]
 pub(crate) struct OperatorEndpoint {
     shared: Arc<Shared>,
@@ -32,7 +37,7 @@
         if self.closing.load(Ordering::Relaxed) {
             return text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n");
         }
-        if self.shared.view().generation.get() == 0 {
+        if !self.shared.validity.is_ready() {
             return text(StatusCode::SERVICE_UNAVAILABLE, "no configuration is in force\n");
         }
         text(StatusCode::OK, "ready\n")
@@ -43,12 +48,25 @@
         if self.commands.send(ControlCommand::Dump(tx)).await.is_err() {
             return text(StatusCode::SERVICE_UNAVAILABLE, "control has ended\n");
         }
-        match rx.await {
-            Ok(state) => {
-                Response::builder().content_type("application/json").body(format!("{state:#}\n"))
-            }
-            Err(_) => text(StatusCode::SERVICE_UNAVAILABLE, "control has ended\n"),
+        json_or_ended(rx.await.ok())
+    }
+
+    /// Takes records that the store accepted, from the operators' command line.
+    async fn take_records(&self, req: Request) -> Response {
+        let body = match req.into_body().into_bytes_limit(MAX_RECORDS_BYTES).await {
+            Ok(body) => body,
+            Err(error) => return text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+        };
+        let message = match serde_json::from_slice::<PeerMessage>(&body) {
+            Ok(message @ PeerMessage::Registers { .. }) => message,
+            Ok(_) => return text(StatusCode::BAD_REQUEST, "only records are taken\n"),
+            Err(error) => return text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+        };
+        let (answer, rx) = oneshot::channel();
+        if self.commands.send(ControlCommand::Registers { message, answer }).await.is_err() {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "control has ended\n");
         }
+        json_or_ended(rx.await.ok())
     }
 }
 
@@ -56,6 +74,9 @@
     type Output = Response;
 
     async fn call(&self, req: Request) -> poem::Result<Response> {
+        if req.method() == Method::POST && req.uri().path() == "/registers" {
+            return Ok(self.take_records(req).await);
+        }
         if req.method() != Method::GET {
             return Ok(text(StatusCode::METHOD_NOT_ALLOWED, "only GET is served\n"));
         }
@@ -69,6 +90,15 @@
     }
 }
 
+fn json_or_ended(state: Option<Value>) -> Response {
+    match state {
+        Some(state) => {
+            Response::builder().content_type("application/json").body(format!("{state:#}\n"))
+        }
+        None => text(StatusCode::SERVICE_UNAVAILABLE, "control has ended\n"),
+    }
+}
+
 fn text(status: StatusCode, body: impl Into<String>) -> Response {
     Response::builder().status(status).content_type("text/plain; charset=utf-8").body(body.into())
 }
--- a/ibiscroft-gateway/src/peer_link.rs
+++ b/ibiscroft-gateway/src/peer_link.rs
@@ -21,7 +21,10 @@
 use crate::controllers::peers::PeerEvent;
 use crate::shared::Shared;
 
-/// Longest time without a message from the other side; pings come each second.
+/// Interval of WebSocket pings, which keep a connection without other messages from counting as
+/// silent.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time without a message from the other side.
 const SILENCE_LIMIT: Duration = Duration::from_secs(3);
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -147,8 +150,14 @@
     shared: &Shared,
     events: &mpsc::UnboundedSender<ControlEvent>,
 ) -> eyre::Result<()> {
+    let mut keep_alive = tokio::time::interval(KEEP_ALIVE_INTERVAL);
+    keep_alive.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
+            _ = keep_alive.tick() => {
+                let sent = socket.send(Message::Ping(Bytes::new()));
+                tokio::time::timeout(SILENCE_LIMIT, sent).await.wrap_err("peer does not read")??;
+            }
             frame = rx.recv() => {
                 let Some(frame) = frame else {
                     return Ok(());
--- a/ibiscroft-gateway/src/shared.rs
+++ b/ibiscroft-gateway/src/shared.rs
@@ -10,6 +10,7 @@
 use crate::metrics::Metrics;
 use crate::observation::Observation;
 use crate::snapshot::Snapshot;
+use crate::validity::Validity;
 
 /// Handles that each traffic thread uses.
 #[derive(Debug)]
@@ -22,6 +23,8 @@
     pub(crate) clock: Clock,
     /// The view that control published last.
     pub(crate) snapshot: ArcSwap<Snapshot>,
+    /// Until when the view may be relied on.
+    pub(crate) validity: Validity,
     /// Metrics of the process.
     pub(crate) metrics: Metrics,
     /// Towards the control thread; full means that observations are dropped and counted.
--- a/ibiscroft-gateway/src/snapshot.rs
+++ b/ibiscroft-gateway/src/snapshot.rs
@@ -4,7 +4,7 @@
 
 use ibiscroft_core::budget::ServiceBudget;
 use ibiscroft_core::config::Service;
-use ibiscroft_core::ids::Generation;
+use ibiscroft_core::ids::{Generation, ServiceName};
 use ibiscroft_core::selection::Pool;
 
 /// What the control thread last published.
@@ -33,6 +33,11 @@
         Self { generation: Generation(0), services: Vec::new() }
     }
 
+    /// Returns the present view of a service.
+    pub(crate) fn service(&self, name: &ServiceName) -> Option<&Arc<ServiceView>> {
+        self.services.iter().find(|view| view.service.name == *name)
+    }
+
     /// Returns the service that a request belongs to.
     pub(crate) fn route(&self, host: &str, path: &str) -> Option<&Arc<ServiceView>> {
         self.services
--- a/ibiscroft-gateway/src/store_watch.rs
+++ b/ibiscroft-gateway/src/store_watch.rs
@@ -16,6 +16,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// Passes on each answer of the watch, until the control thread ends.
+///
+/// After a failed call everything is read again, as the store may come back with older data.
 pub(crate) async fn watch(
     store: StoreClient,
     shared: Arc<Shared>,
@@ -24,13 +26,16 @@
     let mut revision = 0;
     while !events.is_closed() {
         shared.metrics.store_calls.with_label_values(&["watch"]).inc();
+        let sent_at = shared.clock.now();
+        let is_full = revision == 0;
         match store.watch(keys::WATCHED_PREFIX, revision, WATCH_WAIT).await {
             Ok(answer) => {
                 let went_back = answer.revision < revision;
                 revision = if went_back { 0 } else { answer.revision };
-                let _ = events.send(ControlEvent::Watch(answer));
+                let _ = events.send(ControlEvent::Watch { answer, is_full, sent_at });
             }
             Err(error) => {
+                revision = 0;
                 let _ = events.send(ControlEvent::WatchFailed(error));
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
--- /dev/null
+++ b/ibiscroft-gateway/src/validity.rs
@@ -0,0 +1,30 @@
+//! Until when the registers in force may be relied on.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use ibiscroft_core::Tick;
+
+/// An instant that control moves on and traffic threads check right before they send.
+#[derive(Debug, Default)]
+pub(crate) struct Validity {
+    until: AtomicU64,
+    is_ready: AtomicBool,
+}
+
+impl Validity {
+    /// Sets the instant after which no new work may be sent, and whether callers are served.
+    pub(crate) fn set(&self, until: Tick, is_ready: bool) {
+        self.until.store(until.as_micros(), Ordering::Release);
+        self.is_ready.store(is_ready, Ordering::Release);
+    }
+
+    /// Returns whether new work may be sent at `now`.
+    pub(crate) fn holds(&self, now: Tick) -> bool {
+        now.as_micros() <= self.until.load(Ordering::Acquire)
+    }
+
+    /// Returns whether a configuration is in force and was proven.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.is_ready.load(Ordering::Acquire)
+    }
+}
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod catalogues;
 mod orders;
+mod registers;
 mod settings;
 mod support;
 mod whole_path;
