feat(gateway): send to unproven targets only under a permit

Cause: the daemon took every target for warm, so a restart met the load of all gateways at once.

Ruled out: a check in the published view alone, which is older than the connection a client opens; ending the use of a permit at the end of the body's stream, which a server with a known length never asks for (seen: each permit stayed counted for its whole 5.7 s); a view limit of 2 s with watches of 1 s, which lapses between two answers (seen: ownership began anew every 2 s).

Change: roster and permits controller on the control thread, permit messages, one tripwire for each target with a look at the kernel's state after each new connection, permit step before the send, a paced offer to cold targets beside warm ones, state dump, two log events. A watch now waits 500 ms: 2 calls a second for each gateway. Tests that begin with warm targets prove them warm first, which takes the 8.5 s that a first holder waits.

--- a/ibiscroft-gateway/src/backend_client.rs
+++ b/ibiscroft-gateway/src/backend_client.rs
@@ -8,12 +8,17 @@
 use futures_util::{Stream, StreamExt, stream};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use ibiscroft_core::Tick;
+use ibiscroft_core::ids::RunId;
+use ibiscroft_core::permits::ReportedState;
 use ibiscroft_core::selection::{Candidate, InFlight};
 use ibiscroft_wire::{ErrorKind, headers};
 use reqwest::{Client, Response};
+use tokio::time::Instant;
 
-use crate::exchange::{Answer, AnswerBody, Exchange};
+use crate::connect_guard::GuardLayer;
+use crate::exchange::{Answer, AnswerBody, BodyStream, Exchange};
 use crate::filters::identify::remove_hop_by_hop;
+use crate::permits::{PermitUse, RunReport};
 
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -41,14 +46,31 @@
     body: Option<Response>,
     /// Whether the target said that it drains.
     pub(crate) draining: bool,
+    /// What the answer said about its run.
+    pub(crate) report: RunReport,
 }
 
 impl Sent {
-    /// Returns the answer; `in_flight` counts until its body ends.
-    pub(crate) fn into_answer(self, in_flight: InFlight) -> Answer {
+    /// Returns the answer; `in_flight` and the use of a permit end with its body.
+    pub(crate) fn into_answer(self, in_flight: InFlight, permit: Option<ColdUse>) -> Answer {
         let body = match self.body {
-            None => AnswerBody::Whole(Bytes::new()),
-            Some(res) => AnswerBody::Stream(Box::pin(counted(res.bytes_stream(), in_flight))),
+            None => {
+                if let Some(permit) = permit {
+                    permit.permit.end_served(self.report);
+                }
+                AnswerBody::Whole(Bytes::new())
+            }
+            Some(res) => {
+                let length = res.content_length();
+                let body = counted(res.bytes_stream(), in_flight);
+                match permit {
+                    None => AnswerBody::Stream(Box::pin(body)),
+                    Some(permit) => {
+                        let body = limited(Box::pin(body), length, permit, self.report);
+                        AnswerBody::Stream(Box::pin(body))
+                    }
+                }
+            }
         };
         Answer { status: self.status, headers: self.headers, body }
     }
@@ -63,6 +85,8 @@
     Shed {
         /// Whether the target said that it drains.
         draining: bool,
+        /// What the refusal said about the run.
+        report: RunReport,
     },
     /// The request may have run.
     Unknown(ErrorKind, String),
@@ -78,7 +102,7 @@
         Ok(Self { pooled: client(MAX_IDLE)?, fresh: client(0)? })
     }
 
-    /// Sends the request to one target.
+    /// Sends the request to one target; `deadline` is when its answer must have come.
     ///
     /// # Errors
     ///
@@ -87,9 +111,10 @@
         &self,
         ex: &Exchange,
         candidate: &Candidate,
+        deadline: Tick,
         now: Tick,
     ) -> Result<Sent, SendError> {
-        let left = ex.deadline.since(now);
+        let left = deadline.since(now);
         let client = if ex.is_at_most_once() { &self.fresh } else { &self.pooled };
         let url = format!("http://{}{}", candidate.target.address, ex.path_and_query);
         let request = client
@@ -119,6 +144,7 @@
         .retry(reqwest::retry::never())
         .connect_timeout(CONNECT_TIMEOUT)
         .read_timeout(PROGRESS_TIMEOUT)
+        .connector_layer(GuardLayer)
         .tcp_nodelay(true)
         .tcp_keepalive(IDLE_TIMEOUT)
         .tcp_user_timeout(UNACKNOWLEDGED_TIMEOUT)
@@ -152,9 +178,10 @@
         let detail = "the answer carries another request's id";
         return Err(SendError::Unknown(ErrorKind::AnswerMismatch, detail.to_string()));
     }
+    let report = run_report(&headers);
     let refused = text(&headers, headers::EXECUTION) == Some("not_run");
     if status == StatusCode::SERVICE_UNAVAILABLE && refused {
-        return Err(SendError::Shed { draining });
+        return Err(SendError::Shed { draining, report });
     }
     if text(&headers, headers::EXECUTION) == Some("unknown") {
         let detail = "the backend server dropped the request at its deadline";
@@ -163,7 +190,62 @@
     remove_hop_by_hop(&mut headers);
     let is_empty = res.content_length() == Some(0) || ex.method == Method::HEAD;
     let body = if is_empty { None } else { Some(res) };
-    Ok(Sent { status, headers, body, draining })
+    Ok(Sent { status, headers, body, draining, report })
+}
+
+/// The use of a permit by a request whose answer arrives.
+#[derive(Debug)]
+pub(crate) struct ColdUse {
+    /// The permit in use.
+    pub(crate) permit: PermitUse,
+    /// When the request must have ended.
+    pub(crate) ends_at: Instant,
+}
+
+/// Passes on the body of a request under a permit and ends the use of the permit.
+///
+/// The lease holder takes the request for ended at the deadline, so the body is cut off there.
+/// A server does not ask for more once `length` bytes came, so the last piece is the end as well.
+fn limited(
+    body: BodyStream,
+    length: Option<u64>,
+    permit: ColdUse,
+    report: RunReport,
+) -> impl Stream<Item = io::Result<Bytes>> + Send {
+    let state = (body, length, Some((permit, report)));
+    stream::unfold(state, |(mut body, left, state)| async move {
+        let (permit, report) = state?;
+        match tokio::time::timeout_at(permit.ends_at, body.next()).await {
+            Ok(Some(Ok(piece))) => {
+                let left = left.map(|left| left.saturating_sub(piece.len() as u64));
+                if left == Some(0) {
+                    permit.permit.end_served(report);
+                    return Some((Ok(piece), (body, left, None)));
+                }
+                Some((Ok(piece), (body, left, Some((permit, report)))))
+            }
+            Ok(Some(Err(error))) => Some((Err(error), (body, left, None))),
+            Ok(None) => {
+                permit.permit.end_served(report);
+                None
+            }
+            Err(_) => {
+                let error = "the answer of a target in cold start took too long";
+                let error = io::Error::new(io::ErrorKind::TimedOut, error);
+                Some((Err(error), (body, left, None)))
+            }
+        }
+    })
+}
+
+/// Reads what an answer says about the run that gave it.
+fn run_report(headers: &HeaderMap) -> RunReport {
+    let state = match text(headers, headers::TARGET_STATE) {
+        Some("cold") => ReportedState::Cold,
+        Some("warm") => ReportedState::Warm,
+        _ => ReportedState::Unstated,
+    };
+    RunReport { run: text(headers, headers::RUN_ID).map(RunId::new), state }
 }
 
 /// Passes on a body; the request counts as in flight until it ends.
--- a/ibiscroft-gateway/src/control.rs
+++ b/ibiscroft-gateway/src/control.rs
@@ -14,16 +14,19 @@
 
 use crate::claims::ClaimsHandle;
 use crate::controllers::peers::{PeerEvent, Peers};
+use crate::controllers::permits::Permits;
 use crate::controllers::registers::Registers;
 use crate::controllers::roster::{LeaseEvent, Roster};
 use crate::controllers::targets::Targets;
 use crate::events::event;
 use crate::observation::Observation;
+use crate::permits::PermitEvent;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::tripwire::TripwireEvent;
 
 /// Interval of periodic work.
-const TICK: Duration = Duration::from_millis(250);
+const TICK: Duration = Duration::from_millis(50);
 /// Interval of pings to other gateways.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -31,13 +34,22 @@
 #[derive(Debug)]
 pub(crate) enum ControlEvent {
     /// The store answered a watch.
-    Watch(WatchAnswer),
+    Watch {
+        /// The answer.
+        answer: WatchAnswer,
+        /// Whether it lists everything instead of changes.
+        is_full: bool,
+        /// When the watch was sent.
+        sent_at: Tick,
+    },
     /// A watch failed.
     WatchFailed(StoreError),
     /// The instance's own lease changed.
     Lease(LeaseEvent),
     /// Something happened between gateways.
     Peer(PeerEvent),
+    /// Something happened to a tripwire.
+    Tripwire(TripwireEvent),
 }
 
 /// A request to the control thread that expects an answer.
@@ -56,6 +68,8 @@
     pub(crate) events: mpsc::UnboundedReceiver<ControlEvent>,
     /// From traffic threads.
     pub(crate) observations: mpsc::Receiver<Observation>,
+    /// Questions and reports about permits from traffic threads.
+    pub(crate) permits: mpsc::Receiver<PermitEvent>,
     /// From the operators' listener and the daemon.
     pub(crate) commands: mpsc::Receiver<ControlCommand>,
 }
@@ -69,6 +83,7 @@
     targets: Targets,
     roster: Roster,
     peers: Peers,
+    permits: Permits,
     claims: ClaimsHandle,
     store_lost: bool,
     next_ping: Tick,
@@ -87,6 +102,7 @@
             registers: Registers::default(),
             targets: Targets::default(),
             roster: Roster::start(Rc::clone(&settings), Arc::clone(&shared), store, &events),
+            permits: Permits::new(Arc::clone(&shared), events.clone()),
             peers: Peers::new(Arc::clone(&shared), settings.instance.clone(), events),
             claims,
             shared,
@@ -104,6 +120,9 @@
             tokio::select! {
                 Some(event) = inputs.events.recv() => self.on_event(event),
                 Some(seen) = inputs.observations.recv() => self.on_observation(&seen),
+                Some(event) = inputs.permits.recv() => {
+                    self.permits.on_traffic(event, &mut self.peers);
+                }
                 Some(command) = inputs.commands.recv() => self.on_command(command).await,
                 _ = timer.tick() => self.on_tick(),
                 else => return,
@@ -114,10 +133,17 @@
 
     fn on_event(&mut self, event: ControlEvent) {
         match event {
-            ControlEvent::Watch(answer) => self.on_watch(&answer),
+            ControlEvent::Watch { answer, is_full, sent_at } => {
+                self.on_watch(&answer);
+                self.permits.on_watch(&answer, is_full, sent_at);
+            }
             ControlEvent::WatchFailed(error) => self.on_watch_failed(&error),
-            ControlEvent::Lease(lease) => self.roster.on_lease(&lease),
+            ControlEvent::Lease(lease) => {
+                self.roster.on_lease(&lease);
+                self.permits.on_lease(&lease);
+            }
             ControlEvent::Peer(peer) => self.on_peer(peer),
+            ControlEvent::Tripwire(tripwire) => self.permits.on_tripwire(tripwire),
         }
     }
 
@@ -175,7 +201,7 @@
             PeerMessage::TargetLeaving { target, .. } => {
                 self.targets.on_leaving(&TargetName::new(target));
             }
-            _ => {}
+            message => self.permits.on_peer(from, message, &mut self.peers),
         }
     }
 
@@ -207,6 +233,7 @@
                 let _ = answer.send(state);
             }
             ControlCommand::Leave(done) => {
+                self.permits.on_lease(&LeaseEvent::Lost);
                 self.roster.leave().await;
                 let _ = done.send(());
             }
@@ -214,6 +241,7 @@
     }
 
     fn on_tick(&mut self) {
+        self.permits.on_tick(&mut self.peers);
         let now = self.shared.clock.now();
         if now < self.next_ping {
             return;
@@ -230,10 +258,15 @@
     fn publish_if_changed(&mut self) {
         let registers_changed = self.registers.take_changed();
         let targets_changed = self.targets.take_changed();
-        if !registers_changed && !targets_changed {
+        if registers_changed {
+            self.permits.on_configuration(self.registers.configuration());
+        }
+        let permits_changed = self.permits.take_changed();
+        if !registers_changed && !targets_changed && !permits_changed {
             return;
         }
-        let snapshot = self.targets.snapshot(&self.registers, &self.settings.zone);
+        let zone = &self.settings.zone;
+        let snapshot = self.targets.snapshot(&self.registers, &self.permits, zone);
         let metrics = &self.shared.metrics;
         metrics
             .configuration_generation
@@ -254,6 +287,7 @@
             "targets": self.targets.dump(&self.shared.view()),
             "roster": self.roster.dump(),
             "peers": self.peers.dump(),
+            "permits": self.permits.dump(),
         })
     }
 }
--- a/ibiscroft-gateway/src/controllers/roster.rs
+++ b/ibiscroft-gateway/src/controllers/roster.rs
@@ -22,7 +22,7 @@
 /// Time to live of an instance's lease.
 pub(crate) const LEASE_TTL: Duration = Duration::from_secs(5);
 /// Interval between renewals.
-const RENEW_INTERVAL: Duration = Duration::from_millis(1_500);
+pub(crate) const RENEW_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -143,7 +143,7 @@
     loop {
         let sent = shared.clock.now();
         shared.metrics.store_calls.with_label_values(&["lease"]).inc_by(2);
-        match register(&settings, &store).await {
+        match register(&settings, &shared, &store).await {
             Ok(lease) => {
                 let held = LeaseEvent::Held { lease, sent };
                 let _ = events.send(ControlEvent::Lease(held));
@@ -155,11 +155,16 @@
     }
 }
 
-async fn register(settings: &Settings, store: &StoreClient) -> Result<Lease, StoreError> {
+async fn register(
+    settings: &Settings,
+    shared: &Shared,
+    store: &StoreClient,
+) -> Result<Lease, StoreError> {
     let lease = store.grant_lease(LEASE_TTL).await?;
     let key = format!("{}{}", keys::ROSTER_PREFIX, settings.instance);
     let value = json!({
         "instance": settings.instance,
+        "run": shared.run,
         "availability_zone": settings.zone,
         "peer": settings.peer_listen,
         "operator": settings.operator_listen,
--- a/ibiscroft-gateway/src/controllers/targets.rs
+++ b/ibiscroft-gateway/src/controllers/targets.rs
@@ -9,6 +9,7 @@
 use ibiscroft_core::selection::{Candidate, Eligibility, LoadTable, Pool};
 use serde_json::{Value, json};
 
+use crate::controllers::permits::Permits;
 use crate::controllers::registers::Registers;
 use crate::events::event;
 use crate::snapshot::{ServiceView, Snapshot};
@@ -39,12 +40,22 @@
     }
 
     /// Makes the view for traffic threads from the registers and the state of targets.
-    pub(crate) fn snapshot(&mut self, registers: &Registers, own_zone: &ZoneName) -> Snapshot {
+    pub(crate) fn snapshot(
+        &mut self,
+        registers: &Registers,
+        permits: &Permits,
+        own_zone: &ZoneName,
+    ) -> Snapshot {
         let cfg = registers.configuration();
         self.forget_unconfigured(cfg);
         let mut services = Vec::with_capacity(cfg.services.len());
         for service in &cfg.services {
-            services.push(Arc::new(self.service_view(service, registers.zones(), own_zone)));
+            services.push(Arc::new(self.service_view(
+                service,
+                registers.zones(),
+                permits,
+                own_zone,
+            )));
         }
         Snapshot { generation: cfg.generation, services }
     }
@@ -80,33 +91,38 @@
         &mut self,
         service: &Service,
         zones: &ZoneState,
+        permits: &Permits,
         own_zone: &ZoneName,
     ) -> ServiceView {
         let mut candidates = Vec::with_capacity(service.targets.len());
+        let mut proofs = Vec::with_capacity(service.targets.len());
         for target in &service.targets {
+            let proof = permits.proof(&target.name);
             candidates.push(Candidate {
                 target: target.clone(),
-                eligibility: self.eligibility(target, zones),
+                eligibility: self.eligibility(target, zones, proof.is_some()),
                 load: self.loads.entry(&target.name),
             });
+            proofs.push(proof);
         }
         let budget = self.budgets.entry(service.name.clone());
         let budget = budget.or_insert_with(|| Arc::new(ServiceBudget::new(service.retry_share)));
         ServiceView {
             service: service.clone(),
             pool: Pool::new(own_zone, candidates),
+            proofs,
             budget: Arc::clone(budget),
         }
     }
 
-    fn eligibility(&self, target: &Target, zones: &ZoneState) -> Eligibility {
+    fn eligibility(&self, target: &Target, zones: &ZoneState, is_warm: bool) -> Eligibility {
         if zones.is_out(&target.zone) {
             return Eligibility::ZoneOut;
         }
         if self.leaving.contains(&target.name) {
             return Eligibility::Leaving;
         }
-        Eligibility::Warm
+        if is_warm { Eligibility::Warm } else { Eligibility::Cold }
     }
 }
 
--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -29,6 +29,7 @@
 use crate::metrics::Metrics;
 use crate::operator_server::OperatorEndpoint;
 use crate::peer_link;
+use crate::permits::PermitSender;
 use crate::server::CallerEndpoint;
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -47,6 +48,8 @@
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Observations that may wait for the control thread.
 const OBSERVATION_QUEUE: usize = 4_096;
+/// Questions and reports about permits that may wait for the control thread.
+const PERMIT_QUEUE: usize = 4_096;
 /// Commands that may wait for the control thread.
 const COMMAND_QUEUE: usize = 64;
 
@@ -79,6 +82,7 @@
     let store = StoreClient::new(settings.store.clone(), STORE_TIMEOUT)?;
 
     let (observation_tx, observations) = mpsc::channel(OBSERVATION_QUEUE);
+    let (permit_tx, permits) = mpsc::channel(PERMIT_QUEUE);
     let (command_tx, commands) = mpsc::channel(COMMAND_QUEUE);
     let (event_tx, events) = mpsc::unbounded_channel();
     let shared = Arc::new(Shared {
@@ -88,6 +92,7 @@
         snapshot: ArcSwap::from_pointee(Snapshot::empty()),
         metrics: Metrics::new()?,
         observations: observation_tx,
+        permits: PermitSender::new(permit_tx),
     });
     let closing = Arc::new(AtomicBool::new(false));
 
@@ -104,7 +109,12 @@
         claims.clone(),
         event_tx.clone(),
     );
-    tokio::task::spawn_local(control.run(ControlInputs { events, observations, commands }));
+    tokio::task::spawn_local(control.run(ControlInputs {
+        events,
+        observations,
+        permits,
+        commands,
+    }));
     tokio::task::spawn_local(store_watch::watch(store, Arc::clone(&shared), event_tx.clone()));
     tokio::task::spawn_local(peer_link::listen(peer_listener, Arc::clone(&shared), event_tx));
     let operators =
--- a/ibiscroft-gateway/src/events.rs
+++ b/ibiscroft-gateway/src/events.rs
@@ -60,6 +60,8 @@
     PeerUp 4001 Info "A connection to another gateway is up.",
     PeerDown 4002 Info "A connection to another gateway ended.",
     TargetLeaving 5001 Info "A target started leaving.",
+    TargetWarm 5002 Info "A target is proved warm; requests need no permit.",
+    TargetCold 5003 Info "A target is no longer proved warm; requests need a permit.",
     ClaimPageUnusable 6001 Error "A claim page could not be used; orders with keys of that page are refused.",
     ClaimsUnflushed 6002 Warn "The gateway stopped before every order's outcome was recorded.",
 }
--- a/ibiscroft-gateway/src/filters/forward.rs
+++ b/ibiscroft-gateway/src/filters/forward.rs
@@ -1,18 +1,24 @@
 //! The end of the chain: selects targets, sends the request and checks the answer.
 
+mod cold;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use ibiscroft_core::budget;
-use ibiscroft_core::selection::{Candidate, Selection, Selector, Tried, TwoChoices};
+use ibiscroft_core::selection::{Selection, Selector, Tried, TwoChoices};
+use ibiscroft_core::{Tick, budget};
 use ibiscroft_wire::ErrorKind;
 use rand::RngCore;
 
-use crate::backend_client::{BackendClient, SendError, Sent};
+use crate::backend_client::{BackendClient, ColdUse, SendError, Sent};
+use crate::connect_guard;
 use crate::exchange::{Answer, Exchange, Failure, Reply};
 use crate::filters::Handler;
+use crate::filters::forward::cold::ColdPath;
 use crate::observation::Observation;
+use crate::permits::PermitUse;
 use crate::shared::Shared;
+use crate::snapshot::{ServiceView, WarmProof};
 
 /// Advice to callers when no target has room.
 const RETRY_AFTER_SHED: Duration = Duration::from_millis(200);
@@ -23,18 +29,29 @@
     shared: Arc<Shared>,
     client: BackendClient,
     selector: TwoChoices,
+    cold: ColdPath,
+}
+
+/// A target for one try.
+#[derive(Debug)]
+struct Choice {
+    view: Arc<ServiceView>,
+    index: usize,
+    permit: Option<PermitUse>,
 }
 
 impl Forward {
     /// Makes the end of a chain.
     pub(crate) fn new(shared: Arc<Shared>, client: BackendClient) -> Self {
-        Self { shared, client, selector: TwoChoices::default() }
+        let cold = ColdPath::new(Arc::clone(&shared));
+        Self { shared, client, selector: TwoChoices::default(), cold }
     }
 
     /// Offers the request to one target after the other until one answers.
     async fn attempts(&self, ex: &mut Exchange) -> Reply {
-        let service = Arc::clone(&ex.service);
-        service.budget.note_call();
+        ex.service.budget.note_call();
+        let queue_until = self.shared.clock.now() + ex.service.service.queue_wait;
+        let queue_until = queue_until.min(ex.deadline);
         let mut tried = Tried::default();
         let mut last: Option<Failure> = None;
         loop {
@@ -43,18 +60,18 @@
                 let detail = "the deadline passed before a target took the request";
                 return Err(Failure::new(ErrorKind::DeadlinePassed, detail));
             }
-            let selection = self.selector.select(&service.pool, &tried, now, &mut rand::rng());
-            let index = match selection {
-                Selection::Warm(index) => index,
-                none_left => return Err(last.unwrap_or_else(|| no_target(none_left))),
+            let may_wait = last.is_none().then_some(queue_until);
+            let choice = match self.choose(ex, &mut tried, may_wait).await {
+                Ok(choice) => choice,
+                Err(failure) => return Err(last.unwrap_or(failure)),
             };
-            tried.insert(index);
-            match self.attempt(ex, service.pool.candidate(index)).await {
+            tried.insert(choice.index);
+            match self.attempt(ex, choice).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => {
                     let (failure, cause) = failure(error);
                     let now = self.shared.clock.now();
-                    if !service.budget.try_again(cause, ex.is_safe(), now) {
+                    if !ex.service.budget.try_again(cause, ex.is_safe(), now) {
                         return Err(failure);
                     }
                     last = Some(failure);
@@ -63,16 +80,73 @@
         }
     }
 
-    async fn attempt(&self, ex: &mut Exchange, candidate: &Candidate) -> Result<Answer, SendError> {
+    /// Chooses a target; with `queue_until` the request may wait for a cold one.
+    async fn choose(
+        &self,
+        ex: &mut Exchange,
+        tried: &mut Tried,
+        queue_until: Option<Tick>,
+    ) -> Result<Choice, Failure> {
+        loop {
+            let view = Arc::clone(&ex.service);
+            if let Some(choice) = self.cold.warm_another(ex, &view, tried).await {
+                return Ok(choice);
+            }
+            let now = self.shared.clock.now();
+            let selection = self.selector.select(&view.pool, tried, now, &mut rand::rng());
+            let failure = match selection {
+                Selection::Warm(index) if view.proof(index).is_some() => {
+                    return Ok(Choice { view, index, permit: None });
+                }
+                Selection::Warm(index) => {
+                    tried.insert(index);
+                    continue;
+                }
+                Selection::Cold(index) => {
+                    let until = queue_until.unwrap_or(now);
+                    if let Some(permit) = self.cold.permit(&view, index, until).await {
+                        return Ok(Choice { view, index, permit: Some(permit) });
+                    }
+                    tried.insert(index);
+                    continue;
+                }
+                none_left => no_target(none_left, &view),
+            };
+            let Some(until) = queue_until.filter(|until| now < *until) else {
+                return Err(failure);
+            };
+            if !self.cold.wait_for_change(ex, until).await {
+                return Err(failure);
+            }
+            *tried = Tried::default();
+        }
+    }
+
+    async fn attempt(&self, ex: &mut Exchange, choice: Choice) -> Result<Answer, SendError> {
+        let Choice { view, index, permit } = choice;
+        let candidate = view.pool.candidate(index);
         if let Some(key) = &ex.key {
             log::debug!("order {key} goes to {}", candidate.target.name);
         }
         let in_flight = candidate.load.begin();
-        let begun = self.shared.clock.now();
         ex.sent_to = Some(candidate.target.name.clone());
-        let sent = self.client.send(ex, candidate, begun).await;
+        let proof = view.proof(index);
+        let tripwire = proof.map(|proof| Arc::clone(&proof.tripwire));
+        let begun = self.shared.clock.now();
+        if !may_send(permit.as_ref(), proof, begun) {
+            if let Some(permit) = permit {
+                permit.end_not_run();
+            }
+            return Err(SendError::NotSent("the target may not be sent to now".to_string()));
+        }
+        let run_limit = permit.as_ref().map(|cold| begun + cold.permit.run_limit);
+        let deadline = run_limit.map_or(ex.deadline, |limit| limit.min(ex.deadline));
+        let send = self.client.send(ex, candidate, deadline, begun);
+        let guard = tripwire.filter(|_| permit.is_none());
+        let sent = connect_guard::guarded(guard, send).await;
         let now = self.shared.clock.now();
         ex.upstream_time += now.since(begun);
+        self.cold.report(candidate, &sent, permit.as_ref(), proof, begun);
         if is_draining(&sent) {
             let target = candidate.target.name.clone();
             self.shared.observe(Observation::Draining { target });
@@ -80,9 +154,15 @@
         match sent {
             Ok(sent) => {
                 candidate.load.note_answer(now);
-                Ok(sent.into_answer(in_flight))
+                let ends_at = tokio::time::Instant::now() + deadline.since(now);
+                let permit = permit.map(|permit| ColdUse { permit, ends_at });
+                Ok(sent.into_answer(in_flight, permit))
             }
             Err(error) => {
+                let has_ended = !matches!(error, SendError::Unknown(..));
+                if let Some(permit) = permit.filter(|_| has_ended) {
+                    permit.end_not_run();
+                }
                 match &error {
                     SendError::Shed { .. } => in_flight.end_shed(now),
                     SendError::NotSent(_) => {
@@ -105,7 +185,7 @@
 fn is_draining(sent: &Result<Sent, SendError>) -> bool {
     match sent {
         Ok(sent) => sent.draining,
-        Err(SendError::Shed { draining }) => *draining,
+        Err(SendError::Shed { draining, .. }) => *draining,
         Err(_) => false,
     }
 }
@@ -128,9 +208,15 @@
     }
 }
 
-fn no_target(selection: Selection) -> Failure {
+/// Returns whether a request may be sent at `now`, under its permit or by the proof of warmth.
+fn may_send(permit: Option<&PermitUse>, proof: Option<&WarmProof>, now: Tick) -> bool {
+    permit.map_or(proof.is_some(), |cold| cold.permit.may_send(now))
+}
+
+fn no_target(selection: Selection, view: &ServiceView) -> Failure {
+    let is_cold = view.pool.warm().is_empty() && !view.pool.cold().is_empty();
     let (kind, detail) = match selection {
-        Selection::Cold(_) => (ErrorKind::OnlyColdTargets, "all targets are starting"),
+        Selection::Exhausted if is_cold => (ErrorKind::OnlyColdTargets, "all targets are starting"),
         Selection::Unreachable => (ErrorKind::ConnectFailed, "all targets refuse connections"),
         _ => (ErrorKind::NoTarget, "no target may receive new work"),
     };
--- a/ibiscroft-gateway/src/lib.rs
+++ b/ibiscroft-gateway/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod backend_client;
 mod clock;
+mod connect_guard;
 mod control;
 mod controllers;
 mod daemon;
@@ -11,11 +12,13 @@
 mod observation;
 mod operator_server;
 mod peer_link;
+mod permits;
 mod problem;
 mod server;
 mod shared;
 mod snapshot;
 mod store_watch;
+mod tripwire;
 
 pub mod claims;
 pub mod events;
--- a/ibiscroft-gateway/src/shared.rs
+++ b/ibiscroft-gateway/src/shared.rs
@@ -9,6 +9,7 @@
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::observation::Observation;
+use crate::permits::PermitSender;
 use crate::snapshot::Snapshot;
 
 /// Handles that each traffic thread uses.
@@ -26,6 +27,8 @@
     pub(crate) metrics: Metrics,
     /// Towards the control thread; full means that observations are dropped and counted.
     pub(crate) observations: mpsc::Sender<Observation>,
+    /// Asks control for permits and reports their use.
+    pub(crate) permits: PermitSender,
 }
 
 impl Shared {
--- a/ibiscroft-gateway/src/store_watch.rs
+++ b/ibiscroft-gateway/src/store_watch.rs
@@ -11,7 +11,7 @@
 use crate::shared::Shared;
 
 /// Longest wait of one watch call; each answer also confirms that the view is fresh.
-const WATCH_WAIT: Duration = Duration::from_secs(1);
+const WATCH_WAIT: Duration = Duration::from_millis(500);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -24,11 +24,13 @@
     let mut revision = 0;
     while !events.is_closed() {
         shared.metrics.store_calls.with_label_values(&["watch"]).inc();
+        let sent_at = shared.clock.now();
+        let is_full = revision == 0;
         match store.watch(keys::WATCHED_PREFIX, revision, WATCH_WAIT).await {
             Ok(answer) => {
                 let went_back = answer.revision < revision;
                 revision = if went_back { 0 } else { answer.revision };
-                let _ = events.send(ControlEvent::Watch(answer));
+                let _ = events.send(ControlEvent::Watch { answer, is_full, sent_at });
             }
             Err(error) => {
                 let _ = events.send(ControlEvent::WatchFailed(error));
--- a/ibiscroft-gateway/tests/it/support.rs
+++ b/ibiscroft-gateway/tests/it/support.rs
@@ -28,6 +28,8 @@
     pub(crate) backends: Vec<BackendOptions>,
     /// Changes the questionnaire before it is put in force.
     pub(crate) questionnaire: fn(&mut Value),
+    /// Whether the test begins before any target is proved warm.
+    pub(crate) starts_cold: bool,
 }
 
 impl FleetOptions {
@@ -37,6 +39,7 @@
             gateways,
             backends: vec![BackendOptions::default(); backends],
             questionnaire: |_| {},
+            starts_cold: false,
         }
     }
 }
@@ -70,9 +73,38 @@
         for gateway in &fleet.gateways {
             fleet.wait_ready(gateway).await;
         }
+        if !options.starts_cold {
+            fleet.warm_up().await;
+        }
         fleet
     }
 
+    /// Sends requests until each gateway takes each target for warm; sets the counters to zero.
+    pub(crate) async fn warm_up(&self) {
+        for gateway in 0..self.gateways.len() {
+            self.warm_up_gateway(gateway).await;
+        }
+        for backend in &self.backends {
+            backend.reset();
+        }
+    }
+
+    /// Sends requests through one gateway until it takes each target for warm.
+    pub(crate) async fn warm_up_gateway(&self, gateway: usize) {
+        wait_for("all targets warm", async || {
+            let _ = self.request(reqwest::Method::GET, gateway, "/warm-up").send().await;
+            self.has_only_warm_targets(gateway).await
+        })
+        .await;
+    }
+
+    /// Returns whether a gateway takes each target for warm.
+    pub(crate) async fn has_only_warm_targets(&self, gateway: usize) -> bool {
+        let dump = self.dump(gateway).await;
+        let targets = dump["targets"].as_array().unwrap();
+        !targets.is_empty() && targets.iter().all(|target| target["state"] == "warm")
+    }
+
     /// Waits until a gateway says that it is ready.
     pub(crate) async fn wait_ready(&self, gateway: &Gateway) {
         let url = format!("http://{}/readyz", gateway.operators);
