--- a/ibiscroft-gateway/src/store_watch.rs
+++ b/ibiscroft-gateway/src/store_watch.rs
@@ -11,7 +11,7 @@
 use crate::shared::Shared;
 
 /// Longest wait of one watch call; each answer also confirms that the view is fresh.
-const WATCH_WAIT: Duration = Duration::from_secs(1);
+const WATCH_WAIT: Duration = Duration::from_millis(500);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
