fix(gateway): a body that fails never looks whole; callers that leave cancel

Cause: whole_answers::*_never_look_whole: a backend server's chunked answer that broke off after 100,000 bytes reached the caller with the end mark of a whole one. poem 3.1.12 serves a connection again after an error on it; hyper then finds no body and writes the last chunk. For the same reason a handler ran on after its caller had left, and nothing was cancelled at backend servers. Ruled out: the stand-in alone (it had the same fault, and the gateway has it with an honest abort upstream too); Content-Length answers (hyper refuses to end them short). Change: ibiscroft-listener, an acceptor that registers connections, sets TCP_NODELAY, lets a handler end with its caller and closes a connection before a body's error; the gateway and the stand-ins use it. Process tests for killed servers, lost, truncated, crossed, stalled, late and silent answers, planned stops and callers that leave.

--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -9,6 +9,7 @@
 use eyre::WrapErr;
 use ibiscroft_core::claims::ClaimLimits;
 use ibiscroft_core::ids::RunId;
+use ibiscroft_listener::{ConnectionAcceptor, Connections};
 use ibiscroft_platform::StoreClient;
 use poem::Server;
 use poem::listener::TcpAcceptor;
@@ -116,9 +117,12 @@
     let forward = Forward::new(Arc::clone(&shared), BackendClient::new()?);
     let claim = Chain::new(Claim::new(claims.clone(), &limits), forward);
     let chain = Chain::new(Account::new(Arc::clone(&shared)), claim);
-    let callers = CallerEndpoint::new(Arc::clone(&shared), chain, Arc::clone(&closing));
+    let connections = Arc::new(Connections::default());
+    let acceptor = ConnectionAcceptor::new(caller_listener, Arc::clone(&connections))?;
+    let callers =
+        CallerEndpoint::new(Arc::clone(&shared), chain, connections, Arc::clone(&closing));
     let (stop_tx, stop_rx) = oneshot::channel::<()>();
-    let server = Server::new_with_acceptor(TcpAcceptor::from_std(caller_listener.into_std()?)?)
+    let server = Server::new_with_acceptor(acceptor)
         .idle_timeout(CALLER_IDLE_TIMEOUT)
         .run_with_graceful_shutdown(callers, async { drop(stop_rx.await) }, settings.drain_limit);
     let serving = traffic.spawn(server);
--- a/ibiscroft-gateway/src/problem.rs
+++ b/ibiscroft-gateway/src/problem.rs
@@ -1,7 +1,10 @@
 //! Turns replies into HTTP responses for callers.
 
+use std::sync::Arc;
+
 use http::{HeaderValue, StatusCode, header};
 use ibiscroft_core::ids::RequestId;
+use ibiscroft_listener::{Connection, close_on_error};
 use ibiscroft_wire::generated::problem::Problem;
 use ibiscroft_wire::{codec, headers};
 use poem::{Body, Response};
@@ -11,11 +14,12 @@
 /// Media type of problem answers.
 const PROBLEM_JSON: HeaderValue = HeaderValue::from_static("application/problem+json");
 
-/// Returns the response for an answer of a backend server.
-pub(crate) fn answer_response(answer: Answer) -> Response {
+/// Returns the response for an answer of a backend server; a body that fails closes the
+/// connection.
+pub(crate) fn answer_response(answer: Answer, connection: Arc<Connection>) -> Response {
     let body = match answer.body {
         AnswerBody::Whole(bytes) => Body::from_bytes(bytes),
-        AnswerBody::Stream(stream) => Body::from_bytes_stream(stream),
+        AnswerBody::Stream(stream) => Body::from_bytes_stream(close_on_error(stream, connection)),
     };
     let mut res = Response::default();
     res.set_status(answer.status);
--- a/ibiscroft-gateway/src/server.rs
+++ b/ibiscroft-gateway/src/server.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-use http::{HeaderValue, header};
+use http::{HeaderValue, StatusCode, header};
 use ibiscroft_core::Tick;
 use ibiscroft_core::ids::RequestId;
+use ibiscroft_listener::{Connection, Connections};
 use ibiscroft_wire::ErrorKind;
 use poem::{Endpoint, Request, Response};
 
@@ -20,47 +21,47 @@
 pub(crate) struct CallerEndpoint<H> {
     shared: Arc<Shared>,
     chain: Arc<H>,
+    connections: Arc<Connections>,
     closing: Arc<AtomicBool>,
     next_request: AtomicU64,
 }
 
 impl<H: Handler + 'static> CallerEndpoint<H> {
     /// Makes the endpoint; once `closing` is set, each answer closes its connection.
-    pub(crate) fn new(shared: Arc<Shared>, chain: H, closing: Arc<AtomicBool>) -> Self {
-        Self { shared, chain: Arc::new(chain), closing, next_request: AtomicU64::new(0) }
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        chain: H,
+        connections: Arc<Connections>,
+        closing: Arc<AtomicBool>,
+    ) -> Self {
+        let next_request = AtomicU64::new(0);
+        Self { shared, chain: Arc::new(chain), connections, closing, next_request }
     }
 
-    async fn serve(&self, mut req: Request, id: RequestId, received: Tick) -> Response {
+    async fn serve(&self, mut req: Request, id: &RequestId, received: Tick) -> Reply {
         let view = self.shared.view();
         match identify(&mut req, id.clone(), &view, received).await {
             Ok(ex) if ex.is_at_most_once() => self.serve_order(ex).await,
-            Ok(ex) => self.serve_exchange(ex).await,
+            Ok(mut ex) => self.chain.handle(&mut ex).await,
             Err(failure) => {
                 discard_body(&mut req).await;
-                self.fail(&failure, &id)
+                Err(failure)
             }
         }
     }
 
-    async fn serve_exchange(&self, mut ex: Exchange) -> Response {
-        let reply = self.chain.handle(&mut ex).await;
-        self.respond(reply, &ex.request_id)
-    }
-
     /// Serves an order in a task of its own, which goes on when the caller goes away.
-    async fn serve_order(&self, mut ex: Exchange) -> Response {
-        let id = ex.request_id.clone();
+    async fn serve_order(&self, mut ex: Exchange) -> Reply {
         let chain = Arc::clone(&self.chain);
         let order = tokio::spawn(async move { chain.handle(&mut ex).await });
-        let reply = order.await.unwrap_or_else(|error| {
+        order.await.unwrap_or_else(|error| {
             Err(Failure::new(ErrorKind::Internal, format!("the order's task failed: {error}")))
-        });
-        self.respond(reply, &id)
+        })
     }
 
-    fn respond(&self, reply: Reply, id: &RequestId) -> Response {
+    fn respond(&self, reply: Reply, id: &RequestId, connection: Arc<Connection>) -> Response {
         match reply {
-            Ok(answer) => answer_response(answer),
+            Ok(answer) => answer_response(answer, connection),
             Err(failure) => self.fail(&failure, id),
         }
     }
@@ -84,10 +85,22 @@
     async fn call(&self, req: Request) -> poem::Result<Response> {
         let received = self.shared.clock.now();
         let id = request_id(req.headers(), || self.fresh_request_id());
-        let mut res = self.serve(req, id, received).await;
+        let Some(connection) = self.connections.of(&req) else {
+            return Ok(gone());
+        };
+        let reply = tokio::select! {
+            reply = self.serve(req, &id, received) => reply,
+            () = connection.ended() => return Ok(gone()),
+        };
+        let mut res = self.respond(reply, &id, connection);
         if self.closing.load(Ordering::Relaxed) {
             res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(res)
     }
 }
+
+/// Returns what a handler owes its server for a caller that left; nobody sees it.
+fn gone() -> Response {
+    StatusCode::BAD_REQUEST.into()
+}
--- a/ibiscroft-lab/src/backend.rs
+++ b/ibiscroft-lab/src/backend.rs
@@ -24,7 +24,7 @@
 
 use eyre::{Result, WrapErr};
 
-use crate::server::{Connections, RunningServer};
+use crate::server::{RunningServer, ServerControl};
 
 pub use cold_start::ColdStart;
 pub use control::{AnswerFaults, Control};
@@ -48,16 +48,16 @@
     ///
     /// Returns which address cannot be bound, or why the journal cannot be written.
     pub async fn start(options: BackendOptions) -> Result<RunningBackend> {
-        let connections = Arc::new(Connections::default());
+        let control = ServerControl::default();
         let (listen, admin) = (options.listen, options.admin);
-        let shared = Arc::new(shared::Shared::new(options, connections.clone())?);
-        let server = RunningServer::start(listen, connections, api::endpoint(shared.clone()))
+        let shared = Arc::new(shared::Shared::new(options, control.clone())?);
+        let server = RunningServer::start(listen, control, api::endpoint(shared.clone()))
             .await
             .wrap_err_with(|| format!("cannot listen on {listen}"))?;
-        let admin_connections = Arc::new(Connections::default());
-        let admin = RunningServer::start(admin, admin_connections, admin::endpoint(shared.clone()))
-            .await
-            .wrap_err_with(|| format!("cannot listen on {admin}"))?;
+        let admin =
+            RunningServer::start(admin, ServerControl::default(), admin::endpoint(shared.clone()))
+                .await
+                .wrap_err_with(|| format!("cannot listen on {admin}"))?;
         Ok(RunningBackend { shared, server, admin })
     }
 }
--- a/ibiscroft-lab/src/backend/answer.rs
+++ b/ibiscroft-lab/src/backend/answer.rs
@@ -6,13 +6,13 @@
 
 use bytes::Bytes;
 use futures_util::stream::{self, Stream};
+use ibiscroft_listener::Connection;
 
 use super::control::AnswerFaults;
 use super::pattern::Pattern;
 use super::range::ByteRange;
 use super::shared::Shared;
 use super::work::{Received, Slot};
-use crate::server::Connection;
 
 const BLOCK_BYTES: u64 = 64 * 1024;
 
--- a/ibiscroft-lab/src/backend/api.rs
+++ b/ibiscroft-lab/src/backend/api.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
+use ibiscroft_listener::{Connection, close_on_error};
 use ibiscroft_wire::headers;
 use poem::http::{HeaderMap, StatusCode, header};
 use poem::{Body, IntoEndpoint, Request, Response, endpoint};
@@ -16,7 +17,6 @@
 use super::range::{ByteRange, RangeOutcome, requested_range};
 use super::shared::Shared;
 use super::work::{Received, Refusal, Slot};
-use crate::server::Connection;
 
 /// Header that makes a request crash the server that runs it.
 const CRASH_HEADER: &str = "x-crash";
@@ -48,8 +48,7 @@
 
 /// Runs a request and drops it when its caller leaves; poem itself would let it run on.
 async fn run_while_connected(shared: Arc<Shared>, req: Request) -> poem::Result<Response> {
-    let peer = req.remote_addr().as_socket_addr().copied();
-    let Some(connection) = peer.and_then(|peer| shared.connections.find(peer)) else {
+    let Some(connection) = shared.control.connections.of(&req) else {
         return Ok(StatusCode::BAD_REQUEST.into());
     };
     tokio::select! {
@@ -132,8 +131,10 @@
     if faults.lose_answer {
         connection.close();
     }
-    if faults.silent {
-        connection.silence();
+    if faults.silent
+        && let Some(peer) = req.remote_addr().as_socket_addr()
+    {
+        shared.control.silences.silence(*peer);
     }
     if faults.first_byte_delay_ms > 0 {
         tokio::time::sleep(Duration::from_millis(faults.first_byte_delay_ms)).await;
@@ -162,6 +163,7 @@
     }
     let block_delay = Duration::from_millis(query.block_delay_ms.unwrap_or(0));
     let shared = shared.clone();
+    let body_connection = connection.clone();
     let state = BodyState {
         shared,
         _received: received,
@@ -172,7 +174,8 @@
         faults,
         block_delay,
     };
-    response.set_body(Body::from_bytes_stream(answer::body(state)));
+    let body = close_on_error(answer::body(state), body_connection);
+    response.set_body(Body::from_bytes_stream(body));
     response
 }
 
--- a/ibiscroft-lab/src/backend/shared.rs
+++ b/ibiscroft-lab/src/backend/shared.rs
@@ -17,7 +17,7 @@
 use super::noise::Noise;
 use super::options::{BackendOptions, CrashMode};
 use super::polls::Polls;
-use crate::server::Connections;
+use crate::server::ServerControl;
 
 /// Doubled keys named in the counters.
 const MAX_DOUBLED_KEYS_NAMED: usize = 20;
@@ -48,14 +48,14 @@
 #[derive(Debug)]
 pub(super) struct Shared {
     pub(super) options: BackendOptions,
-    pub(super) connections: Arc<Connections>,
+    pub(super) control: ServerControl,
     pub(super) slots: Arc<Semaphore>,
     inner: Mutex<Inner>,
     started: Instant,
 }
 
 impl Shared {
-    pub(super) fn new(options: BackendOptions, connections: Arc<Connections>) -> Result<Self> {
+    pub(super) fn new(options: BackendOptions, control: ServerControl) -> Result<Self> {
         let journal = options.journal.as_deref().map(Journal::open).transpose()?;
         let inner = Inner {
             run_id: new_run_id(),
@@ -77,7 +77,7 @@
         Ok(Self {
             slots: Arc::new(Semaphore::new(options.slots)),
             options,
-            connections,
+            control,
             inner: Mutex::new(inner),
             started: Instant::now(),
         })
@@ -95,7 +95,7 @@
         let now = self.now();
         self.lock().apply(control, now);
         if control.silence_connections == Some(true) {
-            self.connections.silence_all();
+            self.control.silences.silence_all();
         }
     }
 
@@ -116,7 +116,7 @@
             inner.cold.cool();
         }
         drop(inner);
-        self.connections.close_all();
+        self.control.connections.close_all();
     }
 
     pub(super) fn reset(&self) {
@@ -132,9 +132,9 @@
         let now = self.now();
         let mut counters = self.lock().counters(now);
         counters.name.clone_from(&self.options.name);
-        counters.connections_accepted = self.connections.accepted();
-        counters.connections_open = self.connections.open();
-        counters.connections_peak = self.connections.peak();
+        counters.connections_accepted = self.control.connections.accepted();
+        counters.connections_open = self.control.connections.open();
+        counters.connections_peak = self.control.connections.peak();
         counters
     }
 }
--- a/ibiscroft-lab/src/server.rs
+++ b/ibiscroft-lab/src/server.rs
@@ -1,18 +1,27 @@
 //! HTTP server whose connections can be closed or silenced from outside.
 
-mod connections;
-mod listener;
+mod silence;
 
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use ibiscroft_listener::{ConnectionAcceptor, Connections};
 use poem::{IntoEndpoint, Server};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-pub use connections::{Connection, Connections};
-use listener::ControlledAcceptor;
+pub use silence::Silences;
+use silence::SilencingAcceptor;
+
+/// What can be done to the connections of a server.
+#[derive(Clone, Debug, Default)]
+pub struct ServerControl {
+    /// Open connections.
+    pub connections: Arc<Connections>,
+    /// Silent connections.
+    pub silences: Arc<Silences>,
+}
 
 /// A server that runs until it is dropped.
 #[derive(Debug)]
@@ -30,7 +39,7 @@
     /// Returns why the address cannot be bound.
     pub async fn start<E>(
         listen: SocketAddr,
-        connections: Arc<Connections>,
+        control: ServerControl,
         endpoint: E,
     ) -> io::Result<Self>
     where
@@ -39,7 +48,9 @@
     {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
-        let acceptor = ControlledAcceptor::new(listener, address, connections.clone());
+        let connections = control.connections;
+        let acceptor = ConnectionAcceptor::new(listener, connections.clone())?;
+        let acceptor = SilencingAcceptor::new(acceptor, control.silences);
         let endpoint = endpoint.into_endpoint();
         let task = tokio::spawn(async move {
             if let Err(error) = Server::new_with_acceptor(acceptor).run(endpoint).await {
--- /dev/null
+++ b/ibiscroft-lab/src/server/silence.rs
@@ -0,0 +1,144 @@
+//! Connections that go silent: everything read and written is discarded, and they stay open.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
+
+use http::uri::Scheme;
+use ibiscroft_listener::{ConnectionAcceptor, ConnectionStream};
+use poem::listener::Acceptor;
+use poem::web::{LocalAddr, RemoteAddr};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+const DISCARD_BYTES: usize = 16 * 1024;
+
+/// Which of the open connections are silent.
+#[derive(Debug, Default)]
+pub struct Silences {
+    open: Mutex<HashMap<SocketAddr, Arc<AtomicBool>>>,
+}
+
+impl Silences {
+    /// Silences the connection from `peer`.
+    pub fn silence(&self, peer: SocketAddr) {
+        if let Some(silent) = self.lock().get(&peer) {
+            silent.store(true, Ordering::Release);
+        }
+    }
+
+    /// Silences every open connection; new ones work.
+    pub fn silence_all(&self) {
+        for silent in self.lock().values() {
+            silent.store(true, Ordering::Release);
+        }
+    }
+
+    fn insert(&self, peer: SocketAddr) -> Arc<AtomicBool> {
+        let silent = Arc::new(AtomicBool::new(false));
+        self.lock().insert(peer, silent.clone());
+        silent
+    }
+
+    fn remove(&self, peer: SocketAddr) {
+        self.lock().remove(&peer);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<AtomicBool>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Accepts connections that can be silenced.
+#[derive(Debug)]
+pub(super) struct SilencingAcceptor {
+    inner: ConnectionAcceptor,
+    silences: Arc<Silences>,
+}
+
+impl SilencingAcceptor {
+    pub(super) fn new(inner: ConnectionAcceptor, silences: Arc<Silences>) -> Self {
+        Self { inner, silences }
+    }
+}
+
+impl Acceptor for SilencingAcceptor {
+    type Io = SilencingStream;
+
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        self.inner.local_addr()
+    }
+
+    async fn accept(&mut self) -> io::Result<(SilencingStream, LocalAddr, RemoteAddr, Scheme)> {
+        let (inner, local, remote, scheme) = self.inner.accept().await?;
+        let peer = remote.as_socket_addr().copied();
+        let silent = peer.map(|peer| self.silences.insert(peer)).unwrap_or_default();
+        let stream = SilencingStream { inner, silent, peer, silences: self.silences.clone() };
+        Ok((stream, local, remote, scheme))
+    }
+}
+
+/// Stream that discards everything once it is silent.
+#[derive(Debug)]
+pub(super) struct SilencingStream {
+    inner: ConnectionStream,
+    silent: Arc<AtomicBool>,
+    peer: Option<SocketAddr>,
+    silences: Arc<Silences>,
+}
+
+impl SilencingStream {
+    fn is_silent(&self) -> bool {
+        self.silent.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for SilencingStream {
+    fn drop(&mut self) {
+        if let Some(peer) = self.peer {
+            self.silences.remove(peer);
+        }
+    }
+}
+
+impl AsyncRead for SilencingStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        while self.is_silent() {
+            let mut discarded = [0_u8; DISCARD_BYTES];
+            let mut discarded = ReadBuf::new(&mut discarded);
+            ready!(Pin::new(&mut self.inner).poll_read(cx, &mut discarded))?;
+            if discarded.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for SilencingStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.is_silent() {
+            return Poll::Ready(Ok(buf.len()));
+        }
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- a/ibiscroft-lab/src/store.rs
+++ b/ibiscroft-lab/src/store.rs
@@ -16,7 +16,7 @@
 use eyre::{Result, WrapErr};
 use ibiscroft_wire::generated::store::InstanceList;
 
-use crate::server::{Connections, RunningServer};
+use crate::server::{RunningServer, ServerControl};
 
 pub use counters::StoreCounters;
 pub use faults::StoreFaults;
@@ -52,15 +52,15 @@
     ///
     /// Returns which address cannot be bound.
     pub async fn start(options: StoreOptions) -> Result<RunningStore> {
-        let connections = Arc::new(Connections::default());
-        let shared = Arc::new(shared::Shared::new(connections.clone(), options.instance_list_lag));
-        let server =
-            RunningServer::start(options.listen, connections, api::endpoint(shared.clone()))
-                .await
-                .wrap_err_with(|| format!("cannot listen on {}", options.listen))?;
+        let control = ServerControl::default();
+        let shared =
+            Arc::new(shared::Shared::new(control.connections.clone(), options.instance_list_lag));
+        let server = RunningServer::start(options.listen, control, api::endpoint(shared.clone()))
+            .await
+            .wrap_err_with(|| format!("cannot listen on {}", options.listen))?;
         let admin = RunningServer::start(
             options.admin,
-            Arc::new(Connections::default()),
+            ServerControl::default(),
             admin::endpoint(shared.clone()),
         )
         .await
--- a/ibiscroft-lab/src/store/api.rs
+++ b/ibiscroft-lab/src/store/api.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
+use ibiscroft_listener::Connection;
 use ibiscroft_wire::generated::store::{
     EntryList, LeaseAnswer, LeaseRequest, PutAnswer, PutRequest, WatchAnswer,
 };
@@ -68,18 +69,18 @@
     let Some(shared) = shared else {
         return Ok(StatusCode::INTERNAL_SERVER_ERROR.into());
     };
-    let peer = req.remote_addr().as_socket_addr().copied();
+    let connection = shared.connections.of(&req);
     let delay = Duration::from_millis(shared.faults().delay_ms);
     if !delay.is_zero() {
         tokio::time::sleep(delay).await;
     }
     if refuse_while_down(&shared) {
-        return Ok(close_unanswered(&shared, peer));
+        return Ok(close_unanswered(connection.as_deref()));
     }
     let is_write = matches!(req.method().as_str(), "PUT" | "DELETE");
     let answer = ep.call(req).await.map(IntoResponse::into_response);
     if is_write && lose_answer(&shared) {
-        return Ok(close_unanswered(&shared, peer));
+        return Ok(close_unanswered(connection.as_deref()));
     }
     answer
 }
@@ -103,9 +104,9 @@
 }
 
 /// Closes the caller's connection; the response is never written.
-fn close_unanswered(shared: &Shared, peer: Option<std::net::SocketAddr>) -> Response {
-    if let Some(peer) = peer {
-        shared.connections.close(peer);
+fn close_unanswered(connection: Option<&Connection>) -> Response {
+    if let Some(connection) = connection {
+        connection.close();
     }
     StatusCode::SERVICE_UNAVAILABLE.into()
 }
--- a/ibiscroft-lab/src/store/shared.rs
+++ b/ibiscroft-lab/src/store/shared.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use ibiscroft_core::Tick;
+use ibiscroft_listener::Connections;
 use ibiscroft_wire::generated::store::InstanceList;
 use tokio::sync::watch;
 
@@ -11,7 +12,6 @@
 use super::faults::StoreFaults;
 use super::instances::Instances;
 use super::state::StoreState;
-use crate::server::Connections;
 
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(5);
 
--- a/ibiscroft-lab/tests/it/backend.rs
+++ b/ibiscroft-lab/tests/it/backend.rs
@@ -98,6 +98,8 @@
         let whole = match request.header("x-request-id", "r").send().await {
             Ok(response) if response.headers()["x-request-id"] == "r" => {
                 let body = response.bytes().await;
+                let is_short = body.as_ref().is_ok_and(|body| body.len() != 200_000);
+                assert!(!is_short, "{}: a short body looks whole", case.name);
                 body.is_ok_and(|body| Pattern::new("/a", 200_000).slice(0, 200_000) == body)
             }
             _ => false,
--- a/ibiscroft-lab/tests/it/whole_answers.rs
+++ b/ibiscroft-lab/tests/it/whole_answers.rs
@@ -3,7 +3,7 @@
 use ibiscroft_lab::backend::{AnswerFaults, Control, Pattern};
 use reqwest::{Method, Response, StatusCode};
 
-use crate::support::System;
+use crate::support::{System, wait_until};
 
 /// What a caller can see.
 #[derive(Debug, PartialEq, Eq)]
@@ -134,3 +134,14 @@
         }
     }
 }
+
+#[tokio::test]
+async fn a_caller_that_leaves_frees_the_slot() {
+    let system = System::start("caller-leaves", 1, 1).await;
+    let request = system.request(0, Method::GET, "/slow?work_ms=15000").send();
+    let call = tokio::spawn(request);
+    wait_until("request runs", async || system.backends[0].counters().await.running == 1).await;
+    call.abort();
+    wait_until("slot is free", async || system.backends[0].counters().await.running == 0).await;
+    assert_eq!(system.backends[0].counters().await.cancelled_running, 1);
+}
--- /dev/null
+++ b/ibiscroft-listener/src/acceptor.rs
@@ -0,0 +1,117 @@
+//! Acceptor that registers each connection before it is served.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use http::uri::Scheme;
+use poem::listener::Acceptor;
+use poem::web::{LocalAddr, RemoteAddr};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpListener;
+
+use crate::connection::Connection;
+use crate::connections::Connections;
+
+/// Accepts connections, without delay of small writes, and registers them.
+#[derive(Debug)]
+pub struct ConnectionAcceptor {
+    listener: TcpListener,
+    address: SocketAddr,
+    connections: Arc<Connections>,
+}
+
+impl ConnectionAcceptor {
+    /// Accepts the connections of `listener`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the listener has no local address.
+    pub fn new(listener: TcpListener, connections: Arc<Connections>) -> io::Result<Self> {
+        let address = listener.local_addr()?;
+        Ok(Self { listener, address, connections })
+    }
+}
+
+impl Acceptor for ConnectionAcceptor {
+    type Io = ConnectionStream;
+
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        vec![LocalAddr(self.address.into())]
+    }
+
+    async fn accept(&mut self) -> io::Result<(ConnectionStream, LocalAddr, RemoteAddr, Scheme)> {
+        let (stream, peer) = self.listener.accept().await?;
+        stream.set_nodelay(true)?;
+        let connection = Arc::new(Connection::new(stream));
+        self.connections.insert(peer, Arc::clone(&connection));
+        let connections = Arc::clone(&self.connections);
+        let io = ConnectionStream { connection, peer, connections };
+        Ok((io, LocalAddr(self.address.into()), RemoteAddr(peer.into()), Scheme::HTTP))
+    }
+}
+
+/// Stream over a registered connection; removes it from the register when dropped.
+#[derive(Debug)]
+pub struct ConnectionStream {
+    connection: Arc<Connection>,
+    peer: SocketAddr,
+    connections: Arc<Connections>,
+}
+
+impl Drop for ConnectionStream {
+    fn drop(&mut self) {
+        self.connections.remove(self.peer);
+        self.connection.set_ended();
+    }
+}
+
+impl AsyncRead for ConnectionStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let connection = &self.connection;
+        let read = loop {
+            ready!(connection.stream.poll_read_ready(cx))?;
+            match connection.stream.try_read(buf.initialize_unfilled()) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                read => break read,
+            }
+        };
+        if !matches!(read, Ok(count) if count > 0) {
+            connection.set_ended();
+        }
+        buf.advance(read?);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for ConnectionStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let stream = &self.connection.stream;
+        loop {
+            ready!(stream.poll_write_ready(cx))?;
+            match stream.try_write(buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.connection.finish_writing();
+        Poll::Ready(Ok(()))
+    }
+}
--- /dev/null
+++ b/ibiscroft-listener/src/connections.rs
@@ -0,0 +1,65 @@
+//! Open connections of a listener, found by the caller's address.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+
+use poem::Request;
+
+use crate::connection::Connection;
+
+/// The open connections of one listener.
+#[derive(Debug, Default)]
+pub struct Connections {
+    open: RwLock<HashMap<SocketAddr, Arc<Connection>>>,
+    accepted: AtomicU64,
+    peak: AtomicUsize,
+}
+
+impl Connections {
+    /// Returns the connection of a request while it is open.
+    #[must_use]
+    pub fn of(&self, req: &Request) -> Option<Arc<Connection>> {
+        let peer = req.remote_addr().as_socket_addr()?;
+        let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
+        open.get(peer).cloned()
+    }
+
+    /// Closes every open connection.
+    pub fn close_all(&self) {
+        let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
+        for connection in open.values() {
+            connection.close();
+        }
+    }
+
+    /// Returns how many connections are open.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.read().unwrap_or_else(PoisonError::into_inner).len()
+    }
+
+    /// Returns the largest number of connections that were open at once.
+    #[must_use]
+    pub fn peak(&self) -> usize {
+        self.peak.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many connections were accepted.
+    #[must_use]
+    pub fn accepted(&self) -> u64 {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn insert(&self, peer: SocketAddr, connection: Arc<Connection>) {
+        let mut open = self.open.write().unwrap_or_else(PoisonError::into_inner);
+        open.insert(peer, connection);
+        self.accepted.fetch_add(1, Ordering::Relaxed);
+        self.peak.fetch_max(open.len(), Ordering::Relaxed);
+    }
+
+    pub(crate) fn remove(&self, peer: SocketAddr) {
+        self.open.write().unwrap_or_else(PoisonError::into_inner).remove(&peer);
+    }
+}
--- /dev/null
+++ b/ibiscroft-listener/tests/it/main.rs
@@ -0,0 +1,79 @@
+//! Connections seen from their callers and their handlers.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use ibiscroft_listener::{ConnectionAcceptor, Connections, close_on_error};
+use poem::{Body, Request, Response, Server, endpoint};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+/// Serves `/fail` with a body that fails after its first piece, and anything else by waiting.
+async fn serve(ended_tx: mpsc::UnboundedSender<()>) -> (SocketAddr, Arc<Connections>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let connections = Arc::new(Connections::default());
+    let acceptor = ConnectionAcceptor::new(listener, Arc::clone(&connections)).unwrap();
+    let handler_connections = Arc::clone(&connections);
+    let endpoint = endpoint::make_sync(move |req: Request| {
+        let connection = handler_connections.of(&req).unwrap();
+        if req.uri().path() == "/fail" {
+            let pieces = [Ok(Bytes::from_static(b"part")), Err(io::Error::other("lost"))];
+            let body = close_on_error(stream::iter(pieces), connection);
+            return Response::builder().body(Body::from_bytes_stream(body));
+        }
+        let ended_tx = ended_tx.clone();
+        tokio::spawn(async move {
+            connection.ended().await;
+            ended_tx.send(()).unwrap();
+        });
+        Response::builder().body(Body::from_bytes_stream(stream::pending::<io::Result<Bytes>>()))
+    });
+    tokio::spawn(Server::new_with_acceptor(acceptor).run(endpoint));
+    (address, connections)
+}
+
+fn client() -> reqwest::Client {
+    reqwest::Client::builder().no_proxy().build().unwrap()
+}
+
+#[tokio::test]
+async fn a_body_that_fails_does_not_look_whole() {
+    let (ended_tx, _ended) = mpsc::unbounded_channel();
+    let (address, _) = serve(ended_tx).await;
+    let answer = client().get(format!("http://{address}/fail")).send().await;
+    let body = match answer {
+        Ok(response) => response.bytes().await,
+        Err(error) => Err(error),
+    };
+    assert!(body.is_err(), "{body:?}");
+}
+
+#[tokio::test]
+async fn a_handler_hears_when_its_caller_leaves_or_the_connection_is_closed() {
+    struct Case {
+        name: &'static str,
+        closed_here: bool,
+    }
+    let cases = [
+        Case { name: "caller leaves", closed_here: false },
+        Case { name: "closed here", closed_here: true },
+    ];
+    for case in cases {
+        let (ended_tx, mut ended) = mpsc::unbounded_channel();
+        let (address, connections) = serve(ended_tx).await;
+        let response = client().get(format!("http://{address}/wait")).send().await.unwrap();
+        assert_eq!(connections.open(), 1, "{}", case.name);
+        assert!(ended.try_recv().is_err(), "{}", case.name);
+        if case.closed_here {
+            connections.close_all();
+        }
+        drop(response);
+        let heard = tokio::time::timeout(Duration::from_secs(10), ended.recv()).await;
+        assert_eq!(heard, Ok(Some(())), "{}", case.name);
+    }
+}
