refactor(lab): one function makes timed idempotency keys

Ruled out: nothing. Change: load::timed_key, used by runs and tests. Conclusion: cargo test -p ibiscroft-lab passes.

--- a/ibiscroft-lab/src/load.rs
+++ b/ibiscroft-lab/src/load.rs
@@ -3,6 +3,7 @@
 //! Latency counts from the planned time, so that a stall delays every call behind it visibly.
 
 mod caller;
+mod key;
 mod mix;
 mod options;
 mod outcome;
@@ -22,7 +23,7 @@
 use caller::Caller;
 use plan::Planned;
 
-pub use caller::order_key;
+pub use key::timed_key;
 pub use mix::{CallKind, WorkDistribution};
 pub use options::LoadOptions;
 pub use outcome::Outcome;
--- a/ibiscroft-lab/src/load/caller.rs
+++ b/ibiscroft-lab/src/load/caller.rs
@@ -1,7 +1,7 @@
 //! Sends one call and checks its answer.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use eyre::{Result, WrapErr};
 use futures_util::StreamExt;
@@ -79,7 +79,7 @@
             request = request.header("host", host);
         }
         if kind.at_most_once {
-            request = request.header(headers::IDEMPOTENCY_KEY, order_key(name));
+            request = request.header(headers::IDEMPOTENCY_KEY, name);
         }
         if kind.body_bytes > 0 {
             request = request.body(vec![b'x'; kind.body_bytes]);
@@ -88,13 +88,6 @@
     }
 }
 
-/// Returns an idempotency key that begins with the present time, as gateways require.
-#[must_use]
-pub fn order_key(name: &str) -> String {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    format!("{}-{name}", since_epoch.as_millis())
-}
-
 /// Returns what an answer means, after its whole body was read.
 async fn check(response: Response, kind: &CallKind, name: &str) -> Outcome {
     let status = response.status();
--- /dev/null
+++ b/ibiscroft-lab/src/load/key.rs
@@ -0,0 +1,10 @@
+//! Idempotency keys.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Returns an idempotency key that begins with the present time, as gateways require.
+#[must_use]
+pub fn timed_key(suffix: &str) -> String {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    format!("{:013}-{suffix}", since_epoch.as_millis())
+}
--- a/ibiscroft-lab/src/load/options.rs
+++ b/ibiscroft-lab/src/load/options.rs
@@ -1,10 +1,11 @@
 //! Options of a load run and their bounds.
 
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use eyre::{Result, bail, ensure};
 
+use super::key::timed_key;
 use super::mix::CallKind;
 
 /// Most calls of one run.
@@ -50,7 +51,7 @@
             seed: 1,
             mix: vec![CallKind::get("get", "/")],
             timeout: Duration::from_secs(10),
-            run: run_name(),
+            run: timed_key(&format!("{:x}", std::process::id())),
         }
     }
 
@@ -84,9 +85,3 @@
         Ok(())
     }
 }
-
-/// Returns a prefix for this run; idempotency keys must begin with their time.
-fn run_name() -> String {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    format!("{:013}-{:x}", since_epoch.as_millis(), std::process::id())
-}
--- a/ibiscroft-lab/tests/it/orders.rs
+++ b/ibiscroft-lab/tests/it/orders.rs
@@ -2,7 +2,7 @@
 
 use ibiscroft_lab::backend::AnswerFaults;
 use ibiscroft_lab::backend::Control;
-use ibiscroft_lab::load::order_key;
+use ibiscroft_lab::load::timed_key;
 use reqwest::{Method, RequestBuilder, Response};
 
 use crate::support::{System, wait_until};
@@ -23,7 +23,7 @@
     let mut system = System::start("kill-mid-order", 2, 3).await;
     let mut pending = Vec::new();
     for number in 0..ORDERS {
-        let key = order_key(&number.to_string());
+        let key = timed_key(&number.to_string());
         pending.push((tokio::spawn(order(&system, number % 2, &key).send()), key));
     }
     wait_until("all orders run", async || {
@@ -72,7 +72,7 @@
         let control = Control { answer_faults: Some(faults), ..Control::default() };
         backend.admin.control(&control).await.unwrap();
     }
-    let key = order_key("lost");
+    let key = timed_key("lost");
     let first = order(&system, 0, &key).send().await.unwrap();
     assert_eq!(execution(&first), Some("unknown"));
     let again = order(&system, 1, &key).send().await.unwrap();
--- a/ibiscroft-lab/tests/it/planned_stop.rs
+++ b/ibiscroft-lab/tests/it/planned_stop.rs
@@ -1,7 +1,7 @@
 //! Planned stops of gateways cut off no request.
 
 use ibiscroft_lab::backend::Pattern;
-use ibiscroft_lab::load::order_key;
+use ibiscroft_lab::load::timed_key;
 use reqwest::{Method, StatusCode};
 
 use crate::support::{System, wait_until};
@@ -12,7 +12,7 @@
     let mut system = System::start("stop", 1, 1).await;
     let path = format!("/pack?bytes={BYTES}&block_delay_ms=10");
     let mut download = system.request(0, Method::GET, &path).send().await.unwrap();
-    let key = order_key("stop");
+    let key = timed_key("stop");
     let order = system.request(0, Method::POST, "/stamp?work_ms=1500");
     let order = tokio::spawn(order.header("idempotency-key", &key).send());
     let waiting = tokio::spawn(system.request(0, Method::GET, "/slow?work_ms=1500").send());
