test(lab): fleets and the demo warm their targets before they are measured

Cause: since permits are in force, a fleet that starts as a whole refuses requests until the first lease holders have waited out any earlier ones (8.5 s); seven lab tests and the demo expected answers at once. Ruled out: shortening the wait; it covers a holder that was paused. Change: warm_up sends requests until each gateway takes each target for warm.

--- a/ibiscroft-lab/src/added_latency.rs
+++ b/ibiscroft-lab/src/added_latency.rs
@@ -54,6 +54,7 @@
     let (_backend, addresses) = start_backend().await?;
     let size = FleetSize { gateways: 1, traffic_threads: options.traffic_threads };
     let fleet = MeasuredFleet::start(size, &[addresses.listen]).await?;
+    fleet.warm_up(PATH).await?;
     call(&fleet.entries(), options.rates[0], WARM_UP).await?;
     let mut results = Vec::new();
     for rate in &options.rates {
--- a/ibiscroft-lab/src/demo/fleet.rs
+++ b/ibiscroft-lab/src/demo/fleet.rs
@@ -14,6 +14,7 @@
 
 use crate::judge::BackendAdmin;
 use crate::process::{GatewayAddresses, Process, StandInAddresses, program};
+use crate::warm_up::warm_up;
 
 /// Availability zones.
 pub(super) const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -74,6 +75,9 @@
         for gateway in &fleet.gateways {
             wait_until_ready(gateway).await?;
         }
+        for gateway in &fleet.gateways {
+            warm_up(gateway.addresses.callers, gateway.addresses.operators, "/").await?;
+        }
         Ok(fleet)
     }
 
--- a/ibiscroft-lab/src/measured_fleet.rs
+++ b/ibiscroft-lab/src/measured_fleet.rs
@@ -16,6 +16,7 @@
 pub(crate) use usage::Usage;
 
 use crate::store::{RunningStore, Store, StoreOptions};
+use crate::warm_up::warm_up;
 
 /// Availability zones, taken in turn.
 const ZONES: [&str; 7] = ["a", "b", "c", "d", "e", "f", "g"];
@@ -78,6 +79,14 @@
         self.gateways.iter().map(|gateway| gateway.addresses.callers).collect()
     }
 
+    /// Sends requests until each gateway takes each target for warm.
+    pub(crate) async fn warm_up(&self, path: &str) -> Result<()> {
+        for gateway in &self.gateways {
+            warm_up(gateway.addresses.callers, gateway.addresses.operators, path).await?;
+        }
+        Ok(())
+    }
+
     async fn metrics(&self, gateway: &Gateway) -> Result<String> {
         let url = format!("http://{}/metrics", gateway.addresses.operators);
         Ok(self.http.get(url).send().await?.text().await?)
