--- a/ibiscroft-core/tests/it/selection.rs
+++ b/ibiscroft-core/tests/it/selection.rs
@@ -1,7 +1,8 @@
 //! Tests of `selection`.
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::ids::InstanceName;
+use ibiscroft_core::budget::{Failure, ServiceBudget};
+use ibiscroft_core::ids::{InstanceName, Permille};
 use ibiscroft_core::selection::{
     Candidate, Eligibility, LoadTable, MetricWeighted, Place, Pool, Random, Report,
     ReportedTwoChoices, RoundRobin, Selection, Selector, Tried, TwoChoices, subset,
@@ -244,6 +245,31 @@
     assert_eq!(warm_pool(0).placed(place(1)), None);
 }
 
+#[test]
+fn a_decision_allocates_nothing() {
+    let pool = warm_pool(890);
+    let budget = ServiceBudget::new(Permille(100));
+    let mut rng = rng();
+    let decide = || {
+        let mut tried = Tried::default();
+        for millis in 0..100 {
+            budget.note_call();
+            let selected = TwoChoices::default().select(&pool, &tried, at(millis), &mut rng);
+            let Selection::Warm(index) = selected else {
+                continue;
+            };
+            tried.insert(index);
+            let in_flight = pool.candidate(index).load.begin();
+            if budget.try_again(Failure::Shed, true, at(millis)) {
+                in_flight.end_shed(at(millis));
+            } else {
+                in_flight.end_unreachable(at(millis), 7);
+            }
+        }
+    };
+    assert_eq!(allocation_counter::measure(decide).count_total, 0);
+}
+
 fn states() -> impl Strategy<Value = Vec<Eligibility>> {
     use Eligibility::{Cold, Leaving, Warm, ZoneOut};
     prop::collection::vec(prop::sample::select(vec![Warm, Warm, Cold, Leaving, ZoneOut]), 0..24)
