--- a/ibiscroft-core/tests/it/main.rs
+++ b/ibiscroft-core/tests/it/main.rs
@@ -3,6 +3,8 @@
 mod admission;
 mod budget;
 mod claims;
+mod cluster;
+mod freshness;
 mod gossip;
 mod integrity;
 mod leaving;
@@ -11,6 +13,7 @@
 mod permits;
 mod quarantine;
 mod register;
+mod registers;
 mod roster;
 mod selection;
 mod support;
--- a/ibiscroft-gateway/src/lib.rs
+++ b/ibiscroft-gateway/src/lib.rs
@@ -16,9 +16,12 @@
 mod shared;
 mod snapshot;
 mod store_watch;
+mod validity;
 
+pub mod claims;
 pub mod events;
 pub mod settings;
 
+pub use clock::Clock;
 pub use daemon::run;
 pub use settings::Settings;
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -1,1 +1,8 @@
-//! Tests of ibiscroft-gateway.
+//! Tests of the gateway.
+
+mod catalogues;
+mod orders;
+mod registers;
+mod settings;
+mod support;
+mod whole_path;
--- /dev/null
+++ b/ibiscroft-lab/src/cli.rs
@@ -0,0 +1,77 @@
+//! Command line.
+
+mod added_latency;
+mod control_cost;
+mod demo;
+mod load;
+mod serve;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use eyre::{Result, bail};
+use gumdrop::Options;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Arguments of `ibiscroft-lab`.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+/// Subcommands.
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "run the stand-in key-value service and instance list")]
+    Store(serve::StoreArguments),
+    #[options(help = "run a stand-in backend server")]
+    Backend(serve::BackendArguments),
+    #[options(help = "measure what control costs each gateway")]
+    ControlCost(control_cost::ControlCostArguments),
+    #[options(help = "compare calls through a gateway with direct calls")]
+    AddedLatency(added_latency::AddedLatencyArguments),
+    #[options(help = "send calls at a fixed rate")]
+    Load(load::LoadArguments),
+    #[options(help = "run the whole system while servers and a zone leave")]
+    Demo(demo::DemoArguments),
+}
+
+/// Runs the subcommand named in the arguments of the process.
+///
+/// # Errors
+///
+/// Returns what the subcommand could not do.
+pub async fn run() -> Result<ExitCode> {
+    let arguments = Arguments::parse_args_default_or_exit();
+    match arguments.command {
+        Some(Command::Store(arguments)) => serve::store(arguments).await?,
+        Some(Command::Backend(arguments)) => serve::backend(arguments).await?,
+        Some(Command::Load(arguments)) => load::load(arguments).await?,
+        Some(Command::Demo(arguments)) => return demo::demo(arguments).await,
+        Some(Command::ControlCost(arguments)) => control_cost::run(arguments).await?,
+        Some(Command::AddedLatency(arguments)) => added_latency::run(arguments).await?,
+        None => bail!("no command given\n\n{}", Arguments::usage()),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Waits for SIGINT or SIGTERM.
+pub(crate) async fn stop_requested() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        stopped = tokio::signal::ctrl_c() => stopped?,
+    }
+    Ok(())
+}
+
+/// Refuses an address outside 127.0.0.0/8.
+fn check_loopback(address: SocketAddr) -> Result<SocketAddr> {
+    if address.is_ipv4() && address.ip().is_loopback() {
+        return Ok(address);
+    }
+    bail!("address {address} is not in 127.0.0.0/8; the lab stays on loopback")
+}
--- a/ibiscroft-lab/tests/it/main.rs
+++ b/ibiscroft-lab/tests/it/main.rs
@@ -1,1 +1,14 @@
-//! Tests of ibiscroft-lab.
+//! Tests of the stand-ins and the tools.
+
+mod added_time;
+mod backend;
+mod cold_start;
+mod load;
+mod orders;
+mod planned_stop;
+mod range;
+mod scenarios;
+mod store_api;
+mod store_state;
+mod support;
+mod whole_answers;
