feat(gateway): admission in front of claims

Cause: a gateway sent on whatever arrived; under overload targets refused most. Ruled out: admission behind the claim (a request that waits again would be claimed twice). Change: a filter that takes a place, waits for one or refuses with Retry-After from the measured rate; the place is held until the body ends; a request that every target refused waits again, orders excepted. Control reads counts from atomics and never takes the lock. Conclusion: what is refused did not run, and every place is given back.

--- a/ibiscroft-gateway/src/control.rs
+++ b/ibiscroft-gateway/src/control.rs
@@ -104,7 +104,7 @@
                 store.clone(),
                 settings.instance.clone(),
             ),
-            targets: Targets::default(),
+            targets: Targets::new(shared.clock),
             roster: Roster::start(Rc::clone(&settings), Arc::clone(&shared), store, &events),
             peers: Peers::new(Arc::clone(&shared), settings.instance.clone(), events),
             claims,
@@ -266,6 +266,7 @@
             "zones": self.registers.dump_zones(),
             "freshness": self.registers.dump_freshness(),
             "targets": self.targets.dump(&self.shared.view()),
+            "services": Targets::dump_services(&self.shared.view()),
             "roster": self.roster.dump(),
             "peers": self.peers.dump(),
         })
--- a/ibiscroft-gateway/src/controllers/targets.rs
+++ b/ibiscroft-gateway/src/controllers/targets.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use ibiscroft_core::Tick;
+use ibiscroft_core::admission::Limits;
 use ibiscroft_core::budget::ServiceBudget;
 use ibiscroft_core::config::{Configuration, Service, Target, ZoneState};
 use ibiscroft_core::ids::{RunId, ServiceName, TargetName, ZoneName};
@@ -11,20 +12,36 @@
 use ibiscroft_core::selection::{Candidate, Eligibility, LoadTable, Pool};
 use serde_json::{Value, json};
 
+use crate::clock::Clock;
 use crate::controllers::registers::Registers;
 use crate::events::event;
+use crate::service_admission::ServiceAdmission;
 use crate::snapshot::{ServiceView, Snapshot};
 
 /// State of all targets.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Targets {
+    clock: Clock,
     loads: LoadTable,
     budgets: HashMap<ServiceName, Arc<ServiceBudget>>,
+    admissions: HashMap<ServiceName, Arc<ServiceAdmission>>,
     leaving: LeavingTargets,
     changed: bool,
 }
 
 impl Targets {
+    /// Makes the state without targets.
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            loads: LoadTable::default(),
+            budgets: HashMap::new(),
+            admissions: HashMap::new(),
+            leaving: LeavingTargets::default(),
+            changed: false,
+        }
+    }
+
     /// Returns whether a state changed since the last call.
     pub(crate) fn take_changed(&mut self) -> bool {
         std::mem::take(&mut self.changed)
@@ -84,6 +101,23 @@
         Value::Array(targets)
     }
 
+    /// Describes the services of a snapshot.
+    pub(crate) fn dump_services(snapshot: &Snapshot) -> Value {
+        let mut services = Vec::new();
+        for view in &snapshot.services {
+            let counts = view.admission.counts();
+            services.push(json!({
+                "name": view.service.name,
+                "slots": view.limits.slots,
+                "running": counts.running,
+                "waiting": counts.waiting,
+                "waiting_patient": counts.waiting_patient,
+                "concurrency": counts.concurrency,
+            }));
+        }
+        Value::Array(services)
+    }
+
     fn forget_unconfigured(&mut self, cfg: &Configuration) {
         let mut configured = HashSet::new();
         for service in &cfg.services {
@@ -91,7 +125,10 @@
         }
         self.loads.retain(|name| configured.contains(name));
         self.leaving.retain(|name| configured.contains(name));
-        self.budgets.retain(|name, _| cfg.services.iter().any(|service| service.name == *name));
+        let is_configured =
+            |name: &ServiceName| cfg.services.iter().any(|service| service.name == *name);
+        self.budgets.retain(|name, _| is_configured(name));
+        self.admissions.retain(|name, _| is_configured(name));
     }
 
     fn service_view(
@@ -110,10 +147,15 @@
         }
         let budget = self.budgets.entry(service.name.clone());
         let budget = budget.or_insert_with(|| Arc::new(ServiceBudget::new(service.retry_share)));
+        let admission = self.admissions.entry(service.name.clone());
+        let admission = admission.or_insert_with(|| Arc::new(ServiceAdmission::new(self.clock)));
+        let pool = Pool::new(own_zone, candidates);
         ServiceView {
             service: service.clone(),
-            pool: Pool::new(own_zone, candidates),
+            limits: limits(service, &pool),
+            pool,
             budget: Arc::clone(budget),
+            admission: Arc::clone(admission),
         }
     }
 
@@ -128,6 +170,17 @@
     }
 }
 
+/// Returns what the service may send and let wait; a cold target counts as one slot.
+fn limits(service: &Service, pool: &Pool) -> Limits {
+    let cold = u32::try_from(pool.cold().len()).unwrap_or(u32::MAX);
+    Limits {
+        slots: pool.warm_slots().saturating_add(cold),
+        queue: service.queue_limit,
+        patient_queue: service.queue_limit,
+        queue_wait: service.queue_wait,
+    }
+}
+
 fn state_name(eligibility: Eligibility) -> &'static str {
     match eligibility {
         Eligibility::Warm => "warm",
--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -24,6 +24,7 @@
 use crate::events::event;
 use crate::filters::Chain;
 use crate::filters::account::Account;
+use crate::filters::admit::Admit;
 use crate::filters::claim::Claim;
 use crate::filters::forward::Forward;
 use crate::metrics::Metrics;
@@ -117,7 +118,8 @@
 
     let forward = Forward::new(Arc::clone(&shared), BackendClient::new()?);
     let claim = Chain::new(Claim::new(claims.clone(), &limits), forward);
-    let chain = Chain::new(Account::new(Arc::clone(&shared)), claim);
+    let admit = Chain::new(Admit::new(Arc::clone(&shared)), claim);
+    let chain = Chain::new(Account::new(Arc::clone(&shared)), admit);
     let callers = CallerEndpoint::new(Arc::clone(&shared), chain, Arc::clone(&closing));
     let (stop_tx, stop_rx) = oneshot::channel::<()>();
     let server = Server::new_with_acceptor(TcpAcceptor::from_std(caller_listener.into_std()?)?)
--- a/ibiscroft-gateway/src/filters.rs
+++ b/ibiscroft-gateway/src/filters.rs
@@ -1,6 +1,7 @@
 //! The filter chain that each request passes.
 
 pub(crate) mod account;
+pub(crate) mod admit;
 pub(crate) mod claim;
 pub(crate) mod forward;
 pub(crate) mod identify;
--- a/ibiscroft-gateway/src/lib.rs
+++ b/ibiscroft-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod peer_link;
 mod problem;
 mod server;
+mod service_admission;
 mod shared;
 mod snapshot;
 mod store_watch;
--- a/ibiscroft-gateway/src/snapshot.rs
+++ b/ibiscroft-gateway/src/snapshot.rs
@@ -2,11 +2,14 @@
 
 use std::sync::Arc;
 
+use ibiscroft_core::admission::Limits;
 use ibiscroft_core::budget::ServiceBudget;
 use ibiscroft_core::config::Service;
 use ibiscroft_core::ids::{Generation, ServiceName};
 use ibiscroft_core::selection::Pool;
 
+use crate::service_admission::ServiceAdmission;
+
 /// What the control thread last published.
 #[derive(Debug)]
 pub(crate) struct Snapshot {
@@ -25,6 +28,10 @@
     pub(crate) pool: Pool,
     /// Retries of the service at this gateway, shared with earlier and later views.
     pub(crate) budget: Arc<ServiceBudget>,
+    /// Requests that are sent or wait, shared with earlier and later views.
+    pub(crate) admission: Arc<ServiceAdmission>,
+    /// What the service may send and let wait at this gateway.
+    pub(crate) limits: Limits,
 }
 
 impl Snapshot {
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod catalogues;
 mod orders;
+mod overload;
 mod registers;
 mod settings;
 mod support;
--- /dev/null
+++ b/ibiscroft-gateway/tests/it/overload.rs
@@ -0,0 +1,44 @@
+//! Overload through a gateway process, judged by the backend server's counters.
+
+use http::StatusCode;
+use ibiscroft_lab::backend::BackendOptions;
+use reqwest::Method;
+use serde_json::json;
+
+use crate::support::{Fleet, FleetOptions};
+
+/// Requests that callers send at once.
+const REQUESTS: usize = 120;
+
+#[tokio::test]
+async fn a_flood_is_answered_or_refused_as_not_run() {
+    let mut options = FleetOptions::new(1, 1);
+    options.backends = vec![BackendOptions { slots: 2, queue: 1, ..BackendOptions::default() }];
+    options.questionnaire = |answers| {
+        answers["services"][0]["targets"][0]["slots"] = json!(2);
+        answers["services"][0]["callers_wait_ms"] = json!(2_000);
+    };
+    let fleet = Fleet::start(options).await;
+    let calls = (0..REQUESTS).map(|_| fleet.request(Method::GET, 0, "/x?work_ms=50").send());
+    let mut answered = 0;
+    let mut refused = 0;
+    for res in futures_util::future::join_all(calls).await {
+        let res = res.unwrap();
+        if res.status() == StatusCode::OK {
+            answered += 1;
+            continue;
+        }
+        refused += 1;
+        assert_eq!(res.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(res.headers()["x-execution"], "not_run");
+        assert!(res.headers().contains_key("retry-after"));
+    }
+    assert!(answered >= 4, "{answered} answered");
+    assert!(refused >= REQUESTS / 2, "{refused} refused");
+    let counters = fleet.backends[0].counters();
+    assert_eq!(counters.ran, answered, "what was refused did not run");
+    assert!(counters.shed <= 40, "{} offers were refused", counters.shed);
+    let dump = fleet.dump(0).await;
+    assert_eq!(dump["services"][0]["running"], 0, "every place was given back");
+    assert_eq!(dump["services"][0]["waiting"], 0);
+}
