--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::events::event;
 use crate::filters::Chain;
 use crate::filters::account::Account;
+use crate::filters::admit::Admit;
 use crate::filters::claim::Claim;
 use crate::filters::forward::Forward;
 use crate::metrics::Metrics;
@@ -128,7 +129,8 @@
 
     let forward = Forward::new(Arc::clone(&shared), BackendClient::new()?);
     let claim = Chain::new(Claim::new(claims.clone(), &limits), forward);
-    let chain = Chain::new(Account::new(Arc::clone(&shared)), claim);
+    let admit = Chain::new(Admit::new(Arc::clone(&shared)), claim);
+    let chain = Chain::new(Account::new(Arc::clone(&shared)), admit);
     let connections = Arc::new(Connections::default());
     let acceptor = ConnectionAcceptor::new(caller_listener, Arc::clone(&connections))?;
     let callers =
