--- a/ibiscroft-core/src/claims.rs
+++ b/ibiscroft-core/src/claims.rs
@@ -16,6 +16,7 @@
 mod page;
 mod page_slot;
 mod pending;
+mod retirement;
 mod write_budget;
 
 pub use book::{ClaimBook, ClaimCounters};
@@ -23,6 +24,7 @@
 pub use key::{KeyFault, TimedKey};
 pub use limits::ClaimLimits;
 pub use page::{ClaimNonce, ClaimRecord, ClaimState, Fingerprint, KeptAnswer, Page, PageId};
+pub use retirement::{RETIREMENT_NOTICE, RetiredSlots, Retirement, RetirementPlan};
 
 use crate::Tick;
 use crate::{copy_data, number_newtype};
--- a/ibiscroft-core/src/claims/book.rs
+++ b/ibiscroft-core/src/claims/book.rs
@@ -51,6 +51,7 @@
     pages: BTreeMap<PageId, PageSlot>,
     sent: FxHashMap<OrderId, (PageId, Try)>,
     counters: ClaimCounters,
+    retired_through: u64,
 }
 
 impl ClaimBook {
@@ -64,6 +65,7 @@
             pages: BTreeMap::new(),
             sent: FxHashMap::default(),
             counters: ClaimCounters::default(),
+            retired_through: 0,
         }
     }
 
@@ -129,6 +131,9 @@
             }
             ClaimEvent::PageConflict { page } => self.on_conflict(page),
             ClaimEvent::PageWriteLost { page } => self.on_write_lost(page, at.now),
+            ClaimEvent::Retired { through } => {
+                self.retired_through = self.retired_through.max(through);
+            }
             ClaimEvent::Tick => {}
         }
         self.give_up(at.now, &mut actions);
@@ -145,7 +150,8 @@
         deadline: Tick,
         at: Moment,
     ) -> Option<ClaimVerdict> {
-        if self.limits.is_expired(key.time(), at.wall) {
+        let is_retired = self.limits.slot_of(key.time()) <= self.retired_through;
+        if is_retired || self.limits.is_expired(key.time(), at.wall) {
             return Some(ClaimVerdict::KeyExpired);
         }
         if self.limits.is_ahead(key.time(), at.wall) {
--- a/ibiscroft-core/src/claims/event.rs
+++ b/ibiscroft-core/src/claims/event.rs
@@ -77,6 +77,11 @@
             /// The page.
             page: PageId,
         },
+        /// Keys of time slots up to this one are refused from now on.
+        Retired {
+            /// Last retired slot.
+            through: u64,
+        },
         /// Time went on.
         Tick,
     }
--- a/ibiscroft-core/src/claims/limits.rs
+++ b/ibiscroft-core/src/claims/limits.rs
@@ -16,6 +16,8 @@
         pub shards: u32,
         /// Age at which keys are refused as expired.
         pub horizon: Duration,
+        /// Age at which pages are deleted; clocks may differ by what it exceeds the horizon.
+        pub retention: Duration,
         /// How far ahead of the wall clock a key's time may be.
         pub clock_skew: Duration,
         /// Store writes a second that this gateway may spend on claims.
@@ -62,9 +64,10 @@
     pub fn for_fleet(gateways: u32) -> Self {
         let share = (FLEET_WRITES_PER_SECOND / gateways.max(1)).max(1);
         Self {
-            slot: Duration::from_secs(10),
+            slot: Duration::from_secs(4),
             shards: 4,
             horizon: Duration::from_hours(24),
+            retention: Duration::from_hours(30),
             clock_skew: Duration::from_mins(5),
             writes_per_second: PerSecond(share),
             write_burst: share.min(10),
@@ -85,23 +88,37 @@
     /// Returns the page that holds the claims on `key`.
     #[must_use]
     pub fn page_of(&self, key: &TimedKey) -> PageId {
-        let slot_ms = u64::try_from(self.slot.as_millis()).unwrap_or(u64::MAX).max(1);
         let shards = u64::from(self.shards.max(1));
         let shard = u32::try_from(key.hash() % shards).unwrap_or(0);
-        PageId { slot: key.time().get() / slot_ms, shard }
+        PageId { slot: self.slot_of(key.time()), shard }
+    }
+
+    /// Returns the time slot that `time` falls into.
+    #[must_use]
+    pub fn slot_of(&self, time: UnixMillis) -> u64 {
+        time.get() / millis(self.slot).max(1)
+    }
+
+    /// Returns the last time slot whose pages are no longer needed at `wall`.
+    #[must_use]
+    pub fn last_unneeded_slot(&self, wall: UnixMillis) -> u64 {
+        let border = UnixMillis(wall.get().saturating_sub(millis(self.retention)));
+        self.slot_of(border).saturating_sub(1)
     }
 
     /// Returns whether a key of `time` is too old to be claimed at `wall`.
     #[must_use]
     pub fn is_expired(&self, time: UnixMillis, wall: UnixMillis) -> bool {
-        let horizon = u64::try_from(self.horizon.as_millis()).unwrap_or(u64::MAX);
-        time.get().saturating_add(horizon) < wall.get()
+        time.get().saturating_add(millis(self.horizon)) < wall.get()
     }
 
     /// Returns whether a key of `time` lies too far ahead of `wall`.
     #[must_use]
     pub fn is_ahead(&self, time: UnixMillis, wall: UnixMillis) -> bool {
-        let skew = u64::try_from(self.clock_skew.as_millis()).unwrap_or(u64::MAX);
-        time.get() > wall.get().saturating_add(skew)
+        time.get() > wall.get().saturating_add(millis(self.clock_skew))
     }
 }
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/ibiscroft-core/tests/it/claims.rs
+++ b/ibiscroft-core/tests/it/claims.rs
@@ -3,6 +3,7 @@
 mod book;
 mod key;
 mod replay;
+mod retirement;
 mod state_machine;
 mod step;
 mod world;
--- a/ibiscroft-gateway/src/claims.rs
+++ b/ibiscroft-gateway/src/claims.rs
@@ -11,8 +11,11 @@
 mod handle;
 mod metrics;
 mod page_store;
+mod retirement;
 
 pub use controller::ClaimsController;
 pub use guard::{ConfirmedClaim, SentOrder};
 pub use handle::{ClaimsHandle, Decision, OrderRequest};
 pub use metrics::ClaimMetrics;
+pub use retirement::retire_pages;
+pub(crate) use retirement::retired_slots;
--- a/ibiscroft-gateway/src/claims/controller.rs
+++ b/ibiscroft-gateway/src/claims/controller.rs
@@ -160,7 +160,8 @@
     }
 }
 
-fn wall_time() -> UnixMillis {
+/// Returns the wall-clock time.
+pub(super) fn wall_time() -> UnixMillis {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     UnixMillis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
--- a/ibiscroft-gateway/src/claims/handle.rs
+++ b/ibiscroft-gateway/src/claims/handle.rs
@@ -4,7 +4,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::claims::{ClaimEvent, ClaimVerdict, Fingerprint, OrderId, TimedKey};
+use ibiscroft_core::claims::{
+    ClaimEvent, ClaimVerdict, Fingerprint, OrderId, RetiredSlots, TimedKey,
+};
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot};
 
@@ -78,6 +80,12 @@
         let _ = self.messages.send(Message::Gateways(count));
     }
 
+    /// Tells that the keys of time slots up to `slots.through` are refused.
+    pub fn retire(&self, slots: RetiredSlots) {
+        let event = ClaimEvent::Retired { through: slots.through };
+        let _ = self.messages.send(Message::Event(event));
+    }
+
     /// Describes the state of the claims.
     pub async fn dump(&self) -> Value {
         let (tx, rx) = oneshot::channel();
--- /dev/null
+++ b/ibiscroft-gateway/src/claims/retirement.rs
@@ -0,0 +1,86 @@
+//! Deletes the pages of retired time slots.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use ibiscroft_core::claims::{
+    ClaimLimits, Moment, PageId, RetiredSlots, Retirement, RetirementPlan,
+};
+use ibiscroft_core::ids::StoreVersion;
+use ibiscroft_platform::{StoreClient, StoreError};
+use ibiscroft_wire::claim_records::claim_page_key;
+use ibiscroft_wire::generated::claims::RetiredSlotsRecord;
+use ibiscroft_wire::{codec, keys};
+
+use super::controller::wall_time;
+use crate::clock::Clock;
+
+/// Shortest time between two looks at the record; the longest is twice that.
+const INTERVAL: Duration = Duration::from_secs(45);
+/// Pause between two deletions, so that they stay a small share of the store's calls.
+const DELETION_PAUSE: Duration = Duration::from_millis(100);
+
+/// Retires and deletes old pages until its runtime ends.
+pub async fn retire_pages(store: StoreClient, limits: ClaimLimits, clock: Clock) {
+    let mut retirement = Retirement::default();
+    loop {
+        let jitter: f64 = rand::random();
+        tokio::time::sleep(INTERVAL.mul_f64(1.0 + jitter)).await;
+        if let Err(error) = retire_once(&store, &limits, clock, &mut retirement).await {
+            log::debug!("claim pages not retired: {error}");
+        }
+    }
+}
+
+async fn retire_once(
+    store: &StoreClient,
+    limits: &ClaimLimits,
+    clock: Clock,
+    retirement: &mut Retirement,
+) -> Result<(), StoreError> {
+    let (found, version) = read_record(store).await?;
+    let at = Moment { now: clock.now(), wall: wall_time() };
+    let Some(plan) = retirement.plan(found, at, limits) else {
+        return Ok(());
+    };
+    let RetirementPlan { delete, next } = plan;
+    delete_pages(store, limits, delete).await?;
+    let record = RetiredSlotsRecord { through: next.through, deleted: next.deleted };
+    let text = codec::to_json(&record).map_err(|error| StoreError::Refused(error.to_string()))?;
+    store.write(keys::RETIRED_SLOTS, text, version, None).await.map(drop)
+}
+
+async fn read_record(
+    store: &StoreClient,
+) -> Result<(Option<RetiredSlots>, StoreVersion), StoreError> {
+    let Some(entry) = store.read(keys::RETIRED_SLOTS).await? else {
+        return Ok((None, StoreVersion(0)));
+    };
+    let record = retired_slots(entry.value.as_deref().unwrap_or_default());
+    let record = record.ok_or_else(|| StoreError::Refused("unusable record".to_string()))?;
+    Ok((Some(record), StoreVersion(entry.version)))
+}
+
+/// Decodes the record of retired slots.
+pub(crate) fn retired_slots(text: &str) -> Option<RetiredSlots> {
+    let record = codec::from_json::<RetiredSlotsRecord>(text).ok()?;
+    Some(RetiredSlots { through: record.through, deleted: record.deleted })
+}
+
+async fn delete_pages(
+    store: &StoreClient,
+    limits: &ClaimLimits,
+    slots: RangeInclusive<u64>,
+) -> Result<(), StoreError> {
+    for slot in slots {
+        for shard in 0..limits.shards {
+            let key = claim_page_key(PageId { slot, shard });
+            tokio::time::sleep(DELETION_PAUSE).await;
+            let Some(entry) = store.read(&key).await? else {
+                continue;
+            };
+            store.delete(&key, StoreVersion(entry.version)).await?;
+        }
+    }
+    Ok(())
+}
--- a/ibiscroft-gateway/src/control.rs
+++ b/ibiscroft-gateway/src/control.rs
@@ -9,10 +9,11 @@
 use ibiscroft_platform::{StoreClient, StoreError};
 use ibiscroft_wire::generated::peer::PeerMessage;
 use ibiscroft_wire::generated::store::WatchAnswer;
+use ibiscroft_wire::keys;
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::claims::ClaimsHandle;
+use crate::claims::{ClaimsHandle, retired_slots};
 use crate::controllers::peers::{PeerEvent, Peers};
 use crate::controllers::registers::Registers;
 use crate::controllers::roster::{LeaseEvent, Roster};
@@ -132,6 +133,10 @@
             let Some(value) = &entry.value else {
                 continue;
             };
+            if entry.key == keys::RETIRED_SLOTS {
+                retired_slots(value).into_iter().for_each(|slots| self.claims.retire(slots));
+                continue;
+            }
             self.registers.on_entry(&entry.key, value);
         }
         let members = self.roster.members();
--- a/ibiscroft-platform/src/store_client.rs
+++ b/ibiscroft-platform/src/store_client.rs
@@ -107,6 +107,26 @@
         }
     }
 
+    /// Deletes a key when its version is `expected`.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Conflict`] says that the key has another version.
+    pub async fn delete(&self, key: &str, expected: StoreVersion) -> Result<(), StoreError> {
+        let version = expected.to_string();
+        let query = [("key", key), ("expected_version", version.as_str())];
+        let call = |address| self.client.delete(format!("http://{address}/v1/kv")).query(&query);
+        let res = self.call(call, self.timeout).await?;
+        match res.status() {
+            status if status.is_success() => Ok(()),
+            StatusCode::CONFLICT => {
+                let answer: PutAnswer = decode_body(res).await?;
+                Err(StoreError::Conflict(StoreVersion(answer.version)))
+            }
+            status => Err(StoreError::Refused(status.to_string())),
+        }
+    }
+
     /// Lists the keys under a prefix.
     ///
     /// # Errors
--- a/ibiscroft-wire/src/keys.rs
+++ b/ibiscroft-wire/src/keys.rs
@@ -10,3 +10,5 @@
 pub const ROSTER_PREFIX: &str = "ibiscroft/control/instances/";
 /// Prefix of the claim pages.
 pub const CLAIMS_PREFIX: &str = "ibiscroft/claims/";
+/// Which time slots of claims are retired.
+pub const RETIRED_SLOTS: &str = "ibiscroft/control/claims-retired";
