--- a/ibiscroft-core/tests/it/main.rs
+++ b/ibiscroft-core/tests/it/main.rs
@@ -3,12 +3,17 @@
 mod admission;
 mod budget;
 mod claims;
+mod cluster;
+mod freshness;
 mod gossip;
 mod integrity;
 mod leaving;
 mod measuring;
+mod overload;
 mod permits;
 mod quarantine;
 mod register;
+mod registers;
 mod roster;
 mod selection;
+mod support;
--- /dev/null
+++ b/ibiscroft-lab/src/measured_fleet.rs
@@ -0,0 +1,140 @@
+//! A store in this process and gateways as processes, for measurements.
+
+mod gateway;
+mod usage;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::{Result, bail, eyre};
+use gateway::Gateway;
+use ibiscroft_core::ids::{ChangeId, Generation};
+use ibiscroft_wire::generated::store::PutRequest;
+use ibiscroft_wire::{codec, keys, questionnaire, records};
+use serde_json::{Value, json};
+
+pub(crate) use usage::Usage;
+
+use crate::store::{RunningStore, Store, StoreOptions};
+
+/// Availability zones, taken in turn.
+const ZONES: [&str; 7] = ["a", "b", "c", "d", "e", "f", "g"];
+/// Targets of one service at the most.
+const TARGETS_PER_SERVICE: usize = 26;
+/// Looks at readiness before giving up.
+const READY_LOOKS: usize = 400;
+/// Pause between looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Sizes of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FleetSize {
+    /// Gateways.
+    pub(crate) gateways: usize,
+    /// Traffic threads of each gateway.
+    pub(crate) traffic_threads: usize,
+}
+
+/// A store and gateways; the caller brings the targets.
+#[derive(Debug)]
+pub(crate) struct MeasuredFleet {
+    /// The store.
+    pub(crate) store: RunningStore,
+    gateways: Vec<Gateway>,
+    http: reqwest::Client,
+}
+
+impl MeasuredFleet {
+    /// Starts everything and waits until each gateway is ready.
+    pub(crate) async fn start(size: FleetSize, targets: &[SocketAddr]) -> Result<Self> {
+        let store = Store::start(StoreOptions::default()).await?;
+        let http = reqwest::Client::builder().no_proxy().build()?;
+        put_configuration(&http, store.address(), targets).await?;
+        let mut processes = Vec::new();
+        for index in 0..size.gateways {
+            let zone = ZONES[index % ZONES.len()];
+            let started = Gateway::start(index, zone, store.address(), size.traffic_threads);
+            processes.push(started.await?);
+        }
+        let fleet = Self { store, gateways: processes, http };
+        for gateway in &fleet.gateways {
+            fleet.wait_ready(gateway.addresses.operators).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Reads what each gateway has used.
+    pub(crate) async fn usage(&self) -> Result<Vec<Usage>> {
+        let mut usages = Vec::new();
+        for gateway in &self.gateways {
+            let metrics = self.metrics(gateway).await?;
+            usages.push(Usage::read(gateway.process.id()?, &metrics)?);
+        }
+        Ok(usages)
+    }
+
+    /// Returns the gateways' addresses for callers.
+    pub(crate) fn entries(&self) -> Vec<SocketAddr> {
+        self.gateways.iter().map(|gateway| gateway.addresses.callers).collect()
+    }
+
+    async fn metrics(&self, gateway: &Gateway) -> Result<String> {
+        let url = format!("http://{}/metrics", gateway.addresses.operators);
+        Ok(self.http.get(url).send().await?.text().await?)
+    }
+
+    async fn wait_ready(&self, operators: SocketAddr) -> Result<()> {
+        let url = format!("http://{operators}/readyz");
+        for _ in 0..READY_LOOKS {
+            let res = self.http.get(&url).send().await;
+            if res.is_ok_and(|res| res.status().is_success()) {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+        bail!("the gateway at {operators} did not become ready")
+    }
+}
+
+async fn put_configuration(
+    http: &reqwest::Client,
+    store: SocketAddr,
+    targets: &[SocketAddr],
+) -> Result<()> {
+    let answers = questionnaire::read(answers(targets).to_string().as_bytes())?;
+    let cfg = questionnaire::generate(&answers, Generation(1), ChangeId::new("cost"))?;
+    let value = codec::to_json(&records::configuration_record(&cfg))?;
+    let body = PutRequest { value, expected_version: 0, lease: None };
+    let url = format!("http://{store}/v1/kv");
+    let res = http.put(url).query(&[("key", keys::CONFIGURATION)]).json(&body).send().await?;
+    if res.status().is_success() {
+        return Ok(());
+    }
+    Err(eyre!("the store answered {}", res.status()))
+}
+
+fn answers(targets: &[SocketAddr]) -> Value {
+    let mut services = Vec::new();
+    for (number, chunk) in targets.chunks(TARGETS_PER_SERVICE).enumerate() {
+        let mut members = Vec::new();
+        for (index, address) in chunk.iter().enumerate() {
+            members.push(json!({
+                "name": format!("t-{number}-{index}"),
+                "address": address,
+                "availability_zone": ZONES[index % ZONES.len()],
+                "slots": 200,
+                "connections": 200,
+            }));
+        }
+        services.push(json!({
+            "name": format!("service-{number}"),
+            "routes": [{ "path_prefix": format!("/{number}") }],
+            "callers_wait_ms": 2_000,
+            "cold_target_bears": 200,
+            "cold_lasts_ms": 1,
+            "measuring_per_second": 1,
+            "targets": members,
+        }));
+    }
+    json!({ "organisation": "measurement", "availability_zones": ZONES, "services": services })
+}
