--- a/ibiscroft-gateway/src/control.rs
+++ b/ibiscroft-gateway/src/control.rs
@@ -9,11 +9,12 @@
 use ibiscroft_core::leaving::Sighting;
 use ibiscroft_platform::{StoreClient, StoreError};
 use ibiscroft_wire::generated::peer::PeerMessage;
-use ibiscroft_wire::generated::store::WatchAnswer;
+use ibiscroft_wire::generated::store::{Entry, WatchAnswer};
+use ibiscroft_wire::keys;
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::claims::ClaimsHandle;
+use crate::claims::{ClaimsHandle, retired_slots};
 use crate::controllers::peers::{PeerEvent, Peers};
 use crate::controllers::permits::Permits;
 use crate::controllers::registers::Registers;
@@ -164,6 +165,7 @@
         }
         for entry in &answer.entries {
             self.roster.on_entry(entry);
+            self.on_retired_slots(entry);
         }
         let members = self.roster.members();
         if !members.is_empty() {
@@ -174,6 +176,16 @@
         self.registers.on_watch(&answer.entries, is_full, sent_at, &mut self.peers);
     }
 
+    /// Passes on which time slots of claims are retired.
+    fn on_retired_slots(&self, entry: &Entry) {
+        if entry.key != keys::RETIRED_SLOTS {
+            return;
+        }
+        if let Some(slots) = entry.value.as_deref().and_then(retired_slots) {
+            self.claims.retire(slots);
+        }
+    }
+
     fn on_watch_failed(&mut self, error: &StoreError) {
         self.registers.on_store_lost();
         if !std::mem::replace(&mut self.store_lost, true) {
