--- a/ibiscroft-gateway/src/backend_client.rs
+++ b/ibiscroft-gateway/src/backend_client.rs
@@ -44,8 +44,8 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Option<Response>,
-    /// Whether the target said that it drains.
-    pub(crate) draining: bool,
+    /// The run that said that it drains; empty when it was not named.
+    pub(crate) draining: Option<RunId>,
     /// What the answer said about its run.
     pub(crate) report: RunReport,
 }
@@ -83,8 +83,8 @@
     NotSent(String),
     /// The target refused the request without running it.
     Shed {
-        /// Whether the target said that it drains.
-        draining: bool,
+        /// The run that said that it drains; empty when it was not named.
+        draining: Option<RunId>,
         /// What the refusal said about the run.
         report: RunReport,
     },
@@ -172,7 +172,9 @@
 fn check_answer(ex: &Exchange, res: Response) -> Result<Sent, SendError> {
     let status = res.status();
     let mut headers = res.headers().clone();
-    let draining = text(&headers, headers::TARGET_STATE) == Some("draining");
+    let is_draining = text(&headers, headers::TARGET_STATE) == Some("draining");
+    let run = text(&headers, headers::RUN_ID).unwrap_or_default();
+    let draining = is_draining.then(|| RunId::new(run));
     let echoed = text(&headers, headers::REQUEST_ID);
     if echoed.is_some_and(|found| found != ex.request_id.as_str()) {
         let detail = "the answer carries another request's id";
--- a/ibiscroft-gateway/src/filters/forward.rs
+++ b/ibiscroft-gateway/src/filters/forward.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ibiscroft_core::ids::RunId;
 use ibiscroft_core::selection::{Selection, Selector, Tried, TwoChoices};
 use ibiscroft_core::{Tick, budget};
 use ibiscroft_wire::ErrorKind;
@@ -23,6 +24,11 @@
 /// Advice to callers when no target has room.
 const RETRY_AFTER_SHED: Duration = Duration::from_millis(200);
 
+/// Longest wait for a proof that the registers in force are the newest.
+const VALIDITY_WAIT: Duration = Duration::from_secs(2);
+/// Pause between looks at the validity.
+const VALIDITY_POLL: Duration = Duration::from_millis(5);
+
 /// Sends requests to targets.
 #[derive(Debug)]
 pub(crate) struct Forward {
@@ -40,6 +46,15 @@
     permit: Option<PermitUse>,
 }
 
+impl Choice {
+    /// Ends a choice of which nothing was sent.
+    fn give_back(self) {
+        if let Some(permit) = self.permit {
+            permit.end_not_run();
+        }
+    }
+}
+
 impl Forward {
     /// Makes the end of a chain.
     pub(crate) fn new(shared: Arc<Shared>, client: BackendClient) -> Self {
@@ -60,11 +75,18 @@
                 let detail = "the deadline passed before a target took the request";
                 return Err(Failure::new(ErrorKind::DeadlinePassed, detail));
             }
+            if let Err(failure) = self.refresh(ex, &mut tried).await {
+                return Err(last.unwrap_or(failure));
+            }
             let may_wait = last.is_none().then_some(queue_until);
             let choice = match self.choose(ex, &mut tried, may_wait).await {
                 Ok(choice) => choice,
                 Err(failure) => return Err(last.unwrap_or(failure)),
             };
+            if !self.is_present(&choice) {
+                choice.give_back();
+                continue;
+            }
             tried.insert(choice.index);
             match self.attempt(ex, choice).await {
                 Ok(answer) => return Ok(answer),
@@ -80,6 +102,39 @@
         }
     }
 
+    /// Takes the present view; waits a while for a proof that it is the newest.
+    ///
+    /// Targets that were tried are forgotten when the view changed, as its order may differ.
+    async fn refresh(&self, ex: &mut Exchange, tried: &mut Tried) -> Result<(), Failure> {
+        let begun = self.shared.clock.now();
+        let until = ex.deadline.min(begun + VALIDITY_WAIT);
+        while !self.shared.validity.holds(self.shared.clock.now()) {
+            if self.shared.clock.now() >= until {
+                let detail = "neither the store nor another gateway confirms the configuration";
+                let failure = Failure::new(ErrorKind::NotReady, detail);
+                return Err(failure.retry_after(RETRY_AFTER_SHED));
+            }
+            tokio::time::sleep(VALIDITY_POLL).await;
+        }
+        let view = self.shared.view();
+        let Some(present) = view.service(&ex.service.service.name) else {
+            return Err(Failure::new(ErrorKind::NoRoute, "the service was removed"));
+        };
+        if !Arc::ptr_eq(present, &ex.service) {
+            ex.service = Arc::clone(present);
+            *tried = Tried::default();
+        }
+        Ok(())
+    }
+
+    /// Returns whether a choice comes from the present view, and the view may be relied on.
+    fn is_present(&self, choice: &Choice) -> bool {
+        let snapshot = self.shared.view();
+        let present = snapshot.service(&choice.view.service.name);
+        present.is_some_and(|present| Arc::ptr_eq(present, &choice.view))
+            && self.shared.validity.holds(self.shared.clock.now())
+    }
+
     /// Chooses a target; with `queue_until` the request may wait for a cold one.
     async fn choose(
         &self,
@@ -147,9 +202,9 @@
         let now = self.shared.clock.now();
         ex.upstream_time += now.since(begun);
         self.cold.report(candidate, &sent, permit.as_ref(), proof, begun);
-        if is_draining(&sent) {
+        if let Some(run) = draining_run(&sent).cloned() {
             let target = candidate.target.name.clone();
-            self.shared.observe(Observation::Draining { target });
+            self.shared.observe(Observation::Draining { target, run, asked_at: begun });
         }
         match sent {
             Ok(sent) => {
@@ -182,11 +237,12 @@
     }
 }
 
-fn is_draining(sent: &Result<Sent, SendError>) -> bool {
+/// Returns the run that said in its answer that it drains.
+fn draining_run(sent: &Result<Sent, SendError>) -> Option<&RunId> {
     match sent {
-        Ok(sent) => sent.draining,
-        Err(SendError::Shed { draining, .. }) => *draining,
-        Err(_) => false,
+        Ok(sent) => sent.draining.as_ref(),
+        Err(SendError::Shed { draining, .. }) => draining.as_ref(),
+        Err(_) => None,
     }
 }
 
--- a/ibiscroft-gateway/src/lib.rs
+++ b/ibiscroft-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod snapshot;
 mod store_watch;
 mod tripwire;
+mod validity;
 
 pub mod claims;
 pub mod events;
--- a/ibiscroft-gateway/src/shared.rs
+++ b/ibiscroft-gateway/src/shared.rs
@@ -11,6 +11,7 @@
 use crate::observation::Observation;
 use crate::permits::PermitSender;
 use crate::snapshot::Snapshot;
+use crate::validity::Validity;
 
 /// Handles that each traffic thread uses.
 #[derive(Debug)]
@@ -23,6 +24,8 @@
     pub(crate) clock: Clock,
     /// The view that control published last.
     pub(crate) snapshot: ArcSwap<Snapshot>,
+    /// Until when the view may be relied on.
+    pub(crate) validity: Validity,
     /// Metrics of the process.
     pub(crate) metrics: Metrics,
     /// Towards the control thread; full means that observations are dropped and counted.
--- a/ibiscroft-gateway/src/store_watch.rs
+++ b/ibiscroft-gateway/src/store_watch.rs
@@ -16,6 +16,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// Passes on each answer of the watch, until the control thread ends.
+///
+/// After a failed call everything is read again, as the store may come back with older data.
 pub(crate) async fn watch(
     store: StoreClient,
     shared: Arc<Shared>,
@@ -33,6 +35,7 @@
                 let _ = events.send(ControlEvent::Watch { answer, is_full, sent_at });
             }
             Err(error) => {
+                revision = 0;
                 let _ = events.send(ControlEvent::WatchFailed(error));
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod catalogues;
 mod cold_start;
 mod orders;
+mod registers;
 mod settings;
 mod support;
 mod whole_path;
