--- a/ibiscroft-core/tests/it/permits/machine.rs
+++ b/ibiscroft-core/tests/it/permits/machine.rs
@@ -8,7 +8,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::world::{Broken, FreezePoint, GATEWAYS, Step, TARGETS, World};
+use super::rules::{Broken, GATEWAYS, TARGETS};
+use super::step::{FreezePoint, Step};
+use super::world::World;
 
 /// The seed of the world's randomness; the world itself holds the oracle.
 #[derive(Clone, Debug)]
--- a/ibiscroft-core/tests/it/permits/trace.rs
+++ b/ibiscroft-core/tests/it/permits/trace.rs
@@ -2,7 +2,9 @@
 
 use serde::Deserialize;
 
-use super::world::{Broken, Step, World};
+use super::rules::Broken;
+use super::step::Step;
+use super::world::World;
 
 #[derive(Deserialize)]
 #[serde(untagged)]
--- a/ibiscroft-gateway/tests/it/cold_start.rs
+++ b/ibiscroft-gateway/tests/it/cold_start.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ibiscroft_lab::backend::{Backend, BackendOptions, Control};
+use ibiscroft_lab::store::StoreFaults;
 use rand::Rng;
 use tokio::task::JoinHandle;
 
@@ -210,3 +211,29 @@
     wait_all_warm(&fleet, "warm again").await;
     load.end().await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_outage_of_the_store_grants_nothing_and_takes_no_warm_target() {
+    let mut fleet = start_cold(3, 2).await;
+    let load = Load::begin(&fleet, 0..3, 12);
+    wait_all_proved(&fleet, "proof at each gateway").await;
+    fleet.store.set_faults(StoreFaults { down: true, ..StoreFaults::default() });
+    for gateway in 0..fleet.gateways.len() {
+        wait_for("nobody may grant", async || {
+            fleet.dump(gateway).await["permits"]["active"] == false
+        })
+        .await;
+    }
+    restart(&mut fleet, 0).await;
+    let before = fleet.backends[1].counters().received;
+    wait_for("the warm target serves on", async || {
+        fleet.backends[1].counters().received > before + 500
+    })
+    .await;
+    assert_eq!(fleet.backends[0].counters().received, 0);
+    let slow = StoreFaults { delay_ms: 300, lose_answers: 5, ..StoreFaults::default() };
+    fleet.store.set_faults(slow);
+    wait_all_warm(&fleet, "store back").await;
+    assert_borne(&fleet, "store back, slow, with lost answers");
+    load.end().await;
+}
