feat(ops): changes begin from the newest state and are handed to gateways

Cause: a store that comes back with older data made an operator's change undo a departure that was accepted before, and a store that dies right after it accepted a change may lose it before any watch showed it (both found by the state machine of the core).

Change: `answer` and `zone` ask the live gateways what they have in force, begin from the newest, and hand the accepted record to up to three gateways, which spread it; the report names them.

Ruled out: generations from the operator's clock (a clock that is ahead would win over later changes); handing over before the store accepted (a change that lost its race would come into force).

Seen failing with the rule broken on purpose: own change id not recognised (lost answer), conflict taken as written (race), newest state of the gateways ignored (departure undone by a later one).

--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway.
 
 mod catalogues;
+mod operators;
 mod orders;
 mod registers;
 mod settings;
--- /dev/null
+++ b/ibiscroft-gateway/tests/it/operators.rs
@@ -0,0 +1,111 @@
+//! The operators' command line against gateway processes.
+
+use gumdrop::Options;
+use ibiscroft_core::ids::{Generation, ZoneName};
+use ibiscroft_ops::{Args, ExitCode, OpsError, Report, StatusReport, ZoneReport, run};
+use reqwest::Method;
+
+use crate::support::{Fleet, FleetOptions, wait_for};
+
+/// Gateways of a fleet.
+const GATEWAYS: usize = 3;
+
+async fn command(fleet: &Fleet, line: &[&str]) -> Result<Report, OpsError> {
+    let store = fleet.store.address().to_string();
+    let line: Vec<&str> = ["--store", &store].into_iter().chain(line.iter().copied()).collect();
+    run(&Args::parse_args_default(&line).unwrap()).await
+}
+
+async fn zone(fleet: &Fleet, direction: &str, name: &str) -> ZoneReport {
+    match command(fleet, &["zone", direction, name]).await.unwrap() {
+        Report::Zone(report) => report,
+        report => panic!("no zone report: {report}"),
+    }
+}
+
+async fn status(fleet: &Fleet) -> StatusReport {
+    match command(fleet, &["status"]).await.unwrap() {
+        Report::Status(report) => report,
+        report => panic!("no status report: {report}"),
+    }
+}
+
+async fn wait_registered(fleet: &Fleet) {
+    wait_for("all gateways registered", async || status(fleet).await.gateways.len() == GATEWAYS)
+        .await;
+}
+
+async fn wait_in_force(fleet: &Fleet, zones: Generation) {
+    wait_for("in force everywhere", async || {
+        let status = status(fleet).await;
+        status.zones.generation == zones && !status.is_lagging()
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn status_and_dump_show_the_gateways_and_who_lags() {
+    let fleet = Fleet::start(FleetOptions::new(GATEWAYS, 3)).await;
+    wait_registered(&fleet).await;
+    let found = status(&fleet).await;
+    assert!(!found.is_lagging(), "{found}");
+    assert_eq!(found.targets.len(), 3);
+    let Report::Dump(dump) = command(&fleet, &["dump", "gw-1"]).await.unwrap() else {
+        panic!("no dump report");
+    };
+    assert_eq!(dump.0["instance"], "gw-1");
+    let unknown = command(&fleet, &["dump", "gw-9"]).await.unwrap_err();
+    assert!(unknown.to_string().contains("gw-0, gw-1, gw-2"), "{unknown}");
+    fleet.gateways[2].signal(libc::SIGSTOP);
+    let report = command(&fleet, &["status"]).await.unwrap();
+    assert_eq!(report.exit_code(), ExitCode::Lagging, "{report}");
+}
+
+#[tokio::test]
+async fn a_departure_outlives_a_store_that_goes_back() {
+    let fleet = Fleet::start(FleetOptions::new(GATEWAYS, 3)).await;
+    wait_registered(&fleet).await;
+    fleet.store.take_snapshot();
+    let first = zone(&fleet, "out", "a").await;
+    assert_eq!(first.handed_to.len(), GATEWAYS);
+    assert!(fleet.store.roll_back());
+    let second = zone(&fleet, "out", "b").await;
+    assert_eq!(second.out, ["a", "b"].map(ZoneName::new));
+    assert!(second.generation > first.generation);
+    wait_in_force(&fleet, second.generation).await;
+    let before: Vec<u64> = fleet.backends.iter().map(|it| it.counters().received).collect();
+    for gateway in 0..GATEWAYS {
+        for _ in 0..20 {
+            let res = fleet.request(Method::GET, gateway, "/x?bytes=10").send().await.unwrap();
+            assert_eq!(res.status(), 200);
+        }
+    }
+    for (index, before) in before.iter().enumerate().take(2) {
+        assert_eq!(fleet.backends[index].counters().received, *before, "backend server {index}");
+    }
+}
+
+#[tokio::test]
+async fn operators_at_once_leave_one_state_everywhere() {
+    let fleet = Fleet::start(FleetOptions::new(GATEWAYS, 3)).await;
+    wait_registered(&fleet).await;
+    for round in 0..6 {
+        let direction = if round % 2 == 0 { "out" } else { "in" };
+        let lines = ["a", "b"].map(|name| ["zone", direction, name]);
+        let (first, second) = tokio::join!(command(&fleet, &lines[0]), command(&fleet, &lines[1]));
+        let accepted: Vec<ZoneReport> = [first, second]
+            .into_iter()
+            .filter_map(|result| match result {
+                Ok(Report::Zone(report)) => Some(report),
+                Ok(report) => panic!("no zone report: {report}"),
+                Err(error) => {
+                    assert_eq!(error.exit_code(), ExitCode::LostRace, "{error}");
+                    None
+                }
+            })
+            .collect();
+        let newest = accepted.iter().max_by_key(|report| report.generation).unwrap();
+        wait_in_force(&fleet, newest.generation).await;
+        assert_eq!(status(&fleet).await.out, newest.out, "round {round}");
+    }
+}
--- a/ibiscroft-ops/src/answer.rs
+++ b/ibiscroft-ops/src/answer.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use ibiscroft_core::ids::{ChangeId, Generation};
+use ibiscroft_core::ids::{ChangeId, Generation, InstanceName};
 use ibiscroft_wire::generated::configuration::ConfigurationRecord;
 use ibiscroft_wire::{questionnaire, records};
 use serde::Serialize;
@@ -10,8 +10,10 @@
 
 use crate::difference::{Difference, differences};
 use crate::error::OpsError;
+use crate::fleet::{Fleet, hand_over_message};
 use crate::register_client::{self, Stored};
 use crate::store_client::StoreClient;
+use crate::zone::write_handed_to;
 
 /// What `answer` did.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -24,6 +26,8 @@
     pub change_id: ChangeId,
     /// What changed.
     pub differences: Vec<Difference>,
+    /// Gateways that took the change at once; the others follow within seconds.
+    pub handed_to: Vec<InstanceName>,
 }
 
 /// What `answer` would do.
@@ -42,22 +46,27 @@
     let document = read_file(path)?;
     let answers = questionnaire::read(&document).map_err(OpsError::Questionnaire)?;
     let found = register_client::read::<ConfigurationRecord>(store).await?;
-    let generation = Generation(found.generation().get() + 1);
+    let fleet = Fleet::ask(store).await?;
+    let newest = found.generation().max(fleet.configuration_generation());
+    let generation = Generation(newest.get() + 1);
     let change_id = register_client::fresh_change_id()?;
     let cfg = questionnaire::generate(&answers, generation, change_id.clone())
         .map_err(OpsError::Questionnaire)?;
     let record = records::configuration_record(&cfg);
     let differences = changes(&found, &record);
-    if let (Some(in_force), true) = (&found.record, differences.is_empty()) {
+    let is_unchanged = differences.is_empty() && newest == found.generation();
+    if let (Some(in_force), true) = (&found.record, is_unchanged) {
         return Ok(AnswerReport {
             changed: false,
             generation: Generation(in_force.generation),
             change_id: ChangeId::new(in_force.change_id.as_str()),
             differences,
+            handed_to: Vec::new(),
         });
     }
     register_client::replace(store, &found, &record).await?;
-    Ok(AnswerReport { changed: true, generation, change_id, differences })
+    let handed_to = fleet.hand_over(&hand_over_message(&record, false)).await;
+    Ok(AnswerReport { changed: true, generation, change_id, differences, handed_to })
 }
 
 /// Checks the questionnaire in `path` and compares it with what is in force.
@@ -106,7 +115,9 @@
             writeln!(f, "{difference}")?;
         }
         let verb = if self.changed { "accepted" } else { "unchanged" };
-        write!(f, "configuration {verb}: generation {}, change {}", self.generation, self.change_id)
+        let change_id = &self.change_id;
+        write!(f, "configuration {verb}: generation {}, change {change_id}", self.generation)?;
+        write_handed_to(f, self.changed, &self.handed_to)
     }
 }
 
--- a/ibiscroft-ops/src/dump.rs
+++ b/ibiscroft-ops/src/dump.rs
@@ -8,8 +8,9 @@
 use serde_json::Value;
 
 use crate::error::OpsError;
+use crate::gateway_client::GatewayClient;
 use crate::roster_client;
-use crate::store_client::{self, StoreClient};
+use crate::store_client::StoreClient;
 
 /// State of one gateway, as the gateway gave it.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -31,7 +32,7 @@
         Ok(address) => address,
         Err(_) => find(store, InstanceName::new(instance)).await?,
     };
-    roster_client::dump(&store_client::http_client()?, address).await.map(DumpReport)
+    GatewayClient::new()?.dump(address).await.map(DumpReport)
 }
 
 async fn find(store: Option<&StoreClient>, instance: InstanceName) -> Result<SocketAddr, OpsError> {
--- a/ibiscroft-ops/src/lib.rs
+++ b/ibiscroft-ops/src/lib.rs
@@ -7,6 +7,8 @@
 mod dump;
 mod error;
 mod exit_code;
+mod fleet;
+mod gateway_client;
 mod output;
 mod register_client;
 mod roster_client;
--- a/ibiscroft-ops/src/register_client.rs
+++ b/ibiscroft-ops/src/register_client.rs
@@ -1,6 +1,6 @@
 //! Reads and changes the registers (configuration and zone state) in the store.
 
-use ibiscroft_core::ids::{ChangeId, Generation};
+use ibiscroft_core::ids::{ChangeId, Generation, StoreVersion};
 use ibiscroft_wire::generated::configuration::{ConfigurationRecord, ZoneStateRecord};
 use ibiscroft_wire::{codec, keys};
 use rand::TryRngCore;
@@ -9,7 +9,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::error::OpsError;
-use crate::store_client::{PutOutcome, StoreClient};
+use crate::store_client::{StoreClient, WriteOutcome};
 
 /// Tries to write one change or to learn its outcome.
 const MAX_ATTEMPTS: u32 = 5;
@@ -54,7 +54,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Stored<R> {
     /// Version of the key; 0 means that it does not exist.
-    pub(crate) version: u64,
+    pub(crate) version: StoreVersion,
     /// The record, if the key exists.
     pub(crate) record: Option<R>,
 }
@@ -69,14 +69,14 @@
 /// Reads a register.
 pub(crate) async fn read<R: Register>(store: &StoreClient) -> Result<Stored<R>, OpsError> {
     let Some(entry) = store.read(R::KEY).await? else {
-        return Ok(Stored { version: 0, record: None });
+        return Ok(Stored { version: StoreVersion(0), record: None });
     };
     let Some(value) = entry.value else {
-        return Ok(Stored { version: 0, record: None });
+        return Ok(Stored { version: StoreVersion(0), record: None });
     };
     let record = codec::from_json(&value)
         .map_err(|error| OpsError::StoreProtocol(format!("key {}: {error}", R::KEY)))?;
-    Ok(Stored { version: entry.version, record: Some(record) })
+    Ok(Stored { version: StoreVersion(entry.version), record: Some(record) })
 }
 
 /// Writes `record` in place of what was found.
@@ -94,10 +94,10 @@
     let mut answer_lost = false;
     let mut cause = "no answer".to_string();
     for _ in 0..MAX_ATTEMPTS {
-        match store.put(R::KEY, value.clone(), found.version).await {
-            Ok(PutOutcome::Written) => return Ok(()),
-            Ok(PutOutcome::Conflict) => {}
-            Ok(PutOutcome::Lost) => answer_lost = true,
+        match store.write(R::KEY, value.clone(), found.version).await {
+            Ok(WriteOutcome::Written) => return Ok(()),
+            Ok(WriteOutcome::Conflict) => {}
+            Ok(WriteOutcome::Lost) => answer_lost = true,
             Err(error) if !answer_lost => return Err(error),
             Err(error) => cause = error.to_string(),
         }
--- a/ibiscroft-ops/src/roster_client.rs
+++ b/ibiscroft-ops/src/roster_client.rs
@@ -1,15 +1,13 @@
-//! Finds live gateways through the roster and asks them for their state.
+//! Finds live gateways through the roster.
 
 use std::net::SocketAddr;
 
 use ibiscroft_core::ids::{InstanceName, ZoneName};
 use ibiscroft_wire::generated::roster::RosterEntry;
 use ibiscroft_wire::{codec, keys};
-use reqwest::{Client, StatusCode, Url};
-use serde_json::Value;
 
 use crate::error::OpsError;
-use crate::store_client::{StoreClient, fetch, root_cause};
+use crate::store_client::StoreClient;
 
 /// A gateway on the roster.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -36,18 +34,6 @@
     Ok(gateways)
 }
 
-/// Asks the gateway on `address` for its state.
-pub(crate) async fn dump(http: &Client, address: SocketAddr) -> Result<Value, OpsError> {
-    let unavailable = |cause: String| OpsError::InstanceUnavailable { address, cause };
-    let url = Url::parse(&format!("http://{address}/dump"))
-        .map_err(|error| unavailable(error.to_string()))?;
-    let (status, body) = fetch(http, url).await.map_err(|error| unavailable(root_cause(&error)))?;
-    if status != StatusCode::OK {
-        return Err(unavailable(format!("answered {status}")));
-    }
-    codec::from_json(&body).map_err(|error| unavailable(format!("not JSON: {error}")))
-}
-
 fn gateway(key: &str, value: &str) -> Result<Gateway, OpsError> {
     let unusable = |cause: String| OpsError::StoreProtocol(format!("key {key}: {cause}"));
     let entry: RosterEntry =
--- a/ibiscroft-ops/src/status.rs
+++ b/ibiscroft-ops/src/status.rs
@@ -7,12 +7,12 @@
 use ibiscroft_wire::generated::configuration::{ConfigurationRecord, ZoneStateRecord};
 use serde::Serialize;
 use serde_json::Value;
-use tokio::task::JoinSet;
 
 use crate::error::OpsError;
+use crate::fleet::{Fleet, generation};
 use crate::register_client::{self, Register, Stored};
-use crate::roster_client::{self, Gateway};
-use crate::store_client::{self, StoreClient};
+use crate::roster_client::Gateway;
+use crate::store_client::StoreClient;
 use crate::zone;
 
 /// What is in force, in the store and on each gateway.
@@ -83,41 +83,24 @@
 pub(crate) async fn status(store: &StoreClient) -> Result<StatusReport, OpsError> {
     let configuration = register_client::read::<ConfigurationRecord>(store).await?;
     let zones = register_client::read::<ZoneStateRecord>(store).await?;
-    let gateways = roster_client::gateways(store).await?;
+    let fleet = Fleet::ask(store).await?;
     let mut report = StatusReport {
         configuration: register_status(&configuration),
         zones: register_status(&zones),
         out: out_zones(&zones),
-        gateways: Vec::with_capacity(gateways.len()),
+        gateways: Vec::with_capacity(fleet.gateways.len()),
         targets: BTreeMap::new(),
     };
-    for (gateway, answer) in ask_all(gateways).await? {
+    for (gateway, answer) in fleet.gateways {
         if let Ok(dump) = &answer {
             add_targets(&mut report.targets, dump);
         }
         let status = gateway_status(&report, &gateway, answer);
         report.gateways.push(status);
     }
-    report.gateways.sort_by(|left, right| left.instance.cmp(&right.instance));
     Ok(report)
 }
 
-/// Asks all gateways at once, so that a silent one costs a single timeout.
-async fn ask_all(
-    gateways: Vec<Gateway>,
-) -> Result<Vec<(Gateway, Result<Value, OpsError>)>, OpsError> {
-    let http = store_client::http_client()?;
-    let mut asks = JoinSet::new();
-    for gateway in gateways {
-        let http = http.clone();
-        asks.spawn(async move {
-            let answer = roster_client::dump(&http, gateway.address).await;
-            (gateway, answer)
-        });
-    }
-    Ok(asks.join_all().await)
-}
-
 fn register_status<R: Register>(stored: &Stored<R>) -> RegisterStatus {
     RegisterStatus {
         generation: stored.generation(),
@@ -159,10 +142,6 @@
     status
 }
 
-fn generation(dump: &Value, register: &str) -> Option<Generation> {
-    dump[register]["generation"].as_u64().map(Generation)
-}
-
 /// Adds what one gateway says of its targets; fields it leaves out are passed over.
 fn add_targets(targets: &mut BTreeMap<TargetName, TargetStatus>, dump: &Value) {
     let Some(found) = dump["targets"].as_array() else {
--- a/ibiscroft-ops/src/zone.rs
+++ b/ibiscroft-ops/src/zone.rs
@@ -2,12 +2,13 @@
 
 use std::fmt;
 
-use ibiscroft_core::ids::{ChangeId, Generation, ZoneName};
+use ibiscroft_core::ids::{ChangeId, Generation, InstanceName, ZoneName};
 use ibiscroft_wire::generated::configuration::{ConfigurationRecord, ZoneStateRecord};
 use serde::Serialize;
 
 use crate::args::Direction;
 use crate::error::OpsError;
+use crate::fleet::{Fleet, hand_over_message};
 use crate::register_client;
 use crate::store_client::StoreClient;
 
@@ -24,6 +25,8 @@
     pub out: Vec<ZoneName>,
     /// Availability zones that receive work.
     pub r#in: Vec<ZoneName>,
+    /// Gateways that took the change at once; the others follow within seconds.
+    pub handed_to: Vec<InstanceName>,
 }
 
 /// Takes `zone` out or brings it back in.
@@ -41,21 +44,29 @@
     };
     let all = zone_names(&configuration.availability_zones);
     let found = register_client::read::<ZoneStateRecord>(store).await?;
-    let current = found.record.as_ref().map_or_else(Vec::new, |record| zone_names(&record.out));
+    let fleet = Fleet::ask(store).await?;
+    let newer = fleet.zones().filter(|zones| zones.generation > found.generation().get());
+    let is_store_older = newer.is_some();
+    let newest = newer.as_ref().or(found.record.as_ref());
+    let current = newest.map_or_else(Vec::new, |record| zone_names(&record.out));
     let is_known = all.contains(zone) || direction == Direction::In && current.contains(zone);
     if !is_known {
         return Err(OpsError::UnknownZone { zone: zone.clone(), allowed: all });
     }
     let out = after_change(&current, direction, zone);
-    if let (Some(record), true) = (&found.record, out == current) {
+    let is_unchanged = out == current && !is_store_older;
+    if let (Some(record), true) = (&found.record, is_unchanged) {
         let change_id = ChangeId::new(record.change_id.as_str());
-        return Ok(report(false, Generation(record.generation), change_id, out, &all));
+        let generation = Generation(record.generation);
+        let r#in = rest(&all, &out);
+        let handed_to = Vec::new();
+        return Ok(ZoneReport { changed: false, generation, change_id, out, r#in, handed_to });
     }
     let is_any_left = all.iter().any(|zone| !out.contains(zone));
     if direction == Direction::Out && !is_any_left && !force {
         return Err(OpsError::LastZone(zone.clone()));
     }
-    let generation = Generation(found.generation().get() + 1);
+    let generation = Generation(newest.map_or(0, |record| record.generation) + 1);
     let change_id = register_client::fresh_change_id()?;
     let record = ZoneStateRecord {
         generation: generation.get(),
@@ -63,7 +74,9 @@
         out: out.iter().map(ToString::to_string).collect(),
     };
     register_client::replace(store, &found, &record).await?;
-    Ok(report(true, generation, change_id, out, &all))
+    let handed_to = fleet.hand_over(&hand_over_message(&record, true)).await;
+    let r#in = rest(&all, &out);
+    Ok(ZoneReport { changed: true, generation, change_id, out, r#in, handed_to })
 }
 
 fn after_change(current: &[ZoneName], direction: Direction, zone: &ZoneName) -> Vec<ZoneName> {
@@ -75,15 +88,9 @@
     out
 }
 
-fn report(
-    changed: bool,
-    generation: Generation,
-    change_id: ChangeId,
-    out: Vec<ZoneName>,
-    all: &[ZoneName],
-) -> ZoneReport {
-    let r#in = all.iter().filter(|zone| !out.contains(zone)).cloned().collect();
-    ZoneReport { changed, generation, change_id, out, r#in }
+/// Returns the availability zones that are not out.
+fn rest(all: &[ZoneName], out: &[ZoneName]) -> Vec<ZoneName> {
+    all.iter().filter(|zone| !out.contains(zone)).cloned().collect()
 }
 
 fn zone_names(names: &[String]) -> Vec<ZoneName> {
@@ -96,7 +103,8 @@
         let change_id = &self.change_id;
         writeln!(f, "zone state {verb}: generation {}, change {change_id}", self.generation)?;
         writeln!(f, "out: {}", names(&self.out))?;
-        write!(f, "in:  {}", names(&self.r#in))
+        write!(f, "in:  {}", names(&self.r#in))?;
+        write_handed_to(f, self.changed, &self.handed_to)
     }
 }
 
@@ -107,3 +115,19 @@
     }
     zones.iter().map(ZoneName::as_str).collect::<Vec<_>>().join(", ")
 }
+
+/// Writes which gateways took an accepted change at once.
+pub(crate) fn write_handed_to(
+    f: &mut fmt::Formatter<'_>,
+    changed: bool,
+    handed_to: &[InstanceName],
+) -> fmt::Result {
+    if !changed {
+        return Ok(());
+    }
+    if handed_to.is_empty() {
+        return write!(f, "\nno gateway took it at once; `status` shows where it is in force");
+    }
+    let names: Vec<&str> = handed_to.iter().map(InstanceName::as_str).collect();
+    write!(f, "\ntaken at once by: {}", names.join(", "))
+}
--- a/ibiscroft-ops/tests/it/main.rs
+++ b/ibiscroft-ops/tests/it/main.rs
@@ -3,3 +3,4 @@
 mod args;
 mod difference;
 mod examples;
+mod store;
