feat(wire): every fault of a questionnaire at once, with what is allowed

The schema library's texts named no allowed fields or values, and faults that no schema can express were reported only when the schema had none.

Change: messages name what was found and what is allowed; an unknown or missing field has its own path. The cross checks work on the document and run beside the schema. Table tests for empty, truncated, huge, non-UTF-8 documents, typos, no target, duplicates, zero slots, unknown zones.

Ruled out: a second schema language; stopping at the first fault.

Seen failing before the change: the typo, the method that may run twice and the faults of all kinds at once lacked paths or allowed values (seen on the command line with the same documents).

--- a/ibiscroft-wire/src/questionnaire.rs
+++ b/ibiscroft-wire/src/questionnaire.rs
@@ -1,7 +1,7 @@
 //! Checks a questionnaire and generates the configuration from it.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
+mod cross_check;
+
 use std::time::Duration;
 
 use ibiscroft_core::config::{ColdLimits, Configuration, Route, Service, Target};
@@ -11,7 +11,7 @@
 };
 
 use crate::generated::questionnaire::{Questionnaire, ServiceAnswers, TargetAnswers};
-use crate::schema_check::{Fault, Faults, Schema};
+use crate::schema_check::{self, Fault, Faults, Schema};
 
 /// Share of recent calls that may be retried.
 const RETRY_SHARE: Permille = Permille(100);
@@ -26,11 +26,13 @@
 ///
 /// Returns every fault with the path of its field.
 pub fn read(document: &[u8]) -> Result<Questionnaire, Faults> {
-    let value = Schema::Questionnaire.check(document)?;
-    let answers: Questionnaire = serde_json::from_value(value)
-        .map_err(|error| Faults(vec![Fault::new("", error.to_string())]))?;
-    let faults = cross_check(&answers);
-    if faults.is_empty() { Ok(answers) } else { Err(Faults(faults)) }
+    let value = schema_check::parse(document).map_err(|fault| Faults(vec![fault]))?;
+    let mut faults = Schema::Questionnaire.faults(&value)?;
+    faults.extend(cross_check::faults(&value));
+    if !faults.is_empty() {
+        return Err(Faults(faults));
+    }
+    serde_json::from_value(value).map_err(|error| Faults(vec![Fault::new("", error.to_string())]))
 }
 
 /// Generates the configuration from checked answers.
@@ -43,7 +45,9 @@
     generation: Generation,
     change_id: ChangeId,
 ) -> Result<Configuration, Faults> {
-    let faults = cross_check(answers);
+    let value = serde_json::to_value(answers)
+        .map_err(|error| Faults(vec![Fault::new("", error.to_string())]))?;
+    let faults = cross_check::faults(&value);
     if !faults.is_empty() {
         return Err(Faults(faults));
     }
@@ -91,63 +95,3 @@
         connections: Connections(answers.connections),
     })
 }
-
-/// Finds the faults that no schema can express.
-fn cross_check(answers: &Questionnaire) -> Vec<Fault> {
-    let mut faults = Vec::new();
-    let mut services = HashMap::new();
-    let mut names = HashMap::new();
-    let mut addresses = HashMap::new();
-    for (index, service) in answers.services.iter().enumerate() {
-        let path = format!("/services/{index}");
-        check_unique(&mut services, &service.name, &format!("{path}/name"), &mut faults);
-        for (index, target) in service.targets.iter().enumerate() {
-            let path = format!("{path}/targets/{index}");
-            check_unique(&mut names, &target.name, &format!("{path}/name"), &mut faults);
-            check_unique(&mut addresses, &target.address, &format!("{path}/address"), &mut faults);
-            check_target(answers, target, &path, &mut faults);
-        }
-    }
-    faults
-}
-
-fn check_target(
-    answers: &Questionnaire,
-    target: &TargetAnswers,
-    path: &str,
-    faults: &mut Vec<Fault>,
-) {
-    if !answers.availability_zones.contains(&target.availability_zone) {
-        let message = format!(
-            "unknown availability zone {:?}; allowed are {}",
-            target.availability_zone,
-            answers.availability_zones.join(", ")
-        );
-        faults.push(Fault::new(format!("{path}/availability_zone"), message));
-    }
-    let usable = target.address.parse::<SocketAddr>().is_ok_and(|address| address.port() != 0);
-    if !usable {
-        let message = format!("{:?} is not an IP address with a port", target.address);
-        faults.push(Fault::new(format!("{path}/address"), message));
-    }
-    if target.connections < target.slots {
-        let message = format!(
-            "{} connections; at least as many as the {} slots are required",
-            target.connections, target.slots
-        );
-        faults.push(Fault::new(format!("{path}/connections"), message));
-    }
-}
-
-fn check_unique<'a>(
-    seen: &mut HashMap<&'a str, String>,
-    text: &'a str,
-    path: &str,
-    faults: &mut Vec<Fault>,
-) {
-    if let Some(first) = seen.get(text) {
-        faults.push(Fault::new(path, format!("{text:?} stands already at {first}")));
-        return;
-    }
-    seen.insert(text, path.to_string());
-}
--- a/ibiscroft-wire/src/schema_check.rs
+++ b/ibiscroft-wire/src/schema_check.rs
@@ -1,5 +1,7 @@
 //! Checks JSON documents against the schemas and reports every fault at once.
 
+mod messages;
+
 use std::fmt;
 
 use ibiscroft_core::data;
@@ -77,19 +79,33 @@
     /// not fit the schema.
     pub fn check(self, document: &[u8]) -> Result<Value, Faults> {
         let value = parse(document).map_err(|fault| Faults(vec![fault]))?;
+        let faults = self.faults(&value)?;
+        if faults.is_empty() { Ok(value) } else { Err(Faults(faults)) }
+    }
+
+    /// Returns each field of a document that does not fit the schema.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the schema itself cannot be used.
+    pub fn faults(self, value: &Value) -> Result<Vec<Fault>, Faults> {
         let schema: Value = serde_json::from_str(self.text())
             .map_err(|error| Faults(vec![Fault::new("", format!("schema: {error}"))]))?;
         let validator = jsonschema::draft7::new(&schema)
             .map_err(|error| Faults(vec![Fault::new("", format!("schema: {error}"))]))?;
-        let faults: Vec<Fault> = validator
-            .iter_errors(&value)
-            .map(|error| Fault::new(error.instance_path.to_string(), error.to_string()))
-            .collect();
-        if faults.is_empty() { Ok(value) } else { Err(Faults(faults)) }
+        Ok(validator
+            .iter_errors(value)
+            .flat_map(|error| messages::faults(&error, &schema))
+            .collect())
     }
 }
 
-fn parse(document: &[u8]) -> Result<Value, Fault> {
+/// Reads the text of a document.
+///
+/// # Errors
+///
+/// Says whether size, text encoding or JSON syntax is at fault.
+pub fn parse(document: &[u8]) -> Result<Value, Fault> {
     if document.len() > MAX_DOCUMENT_BYTES {
         let message =
             format!("{} bytes; at most {MAX_DOCUMENT_BYTES} bytes are allowed", document.len());
--- a/ibiscroft-wire/tests/it/main.rs
+++ b/ibiscroft-wire/tests/it/main.rs
@@ -3,3 +3,4 @@
 mod claim_records;
 mod generated;
 mod generator;
+mod questionnaire;
