--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -9,6 +9,7 @@
 use eyre::WrapErr;
 use ibiscroft_core::claims::ClaimLimits;
 use ibiscroft_core::ids::RunId;
+use ibiscroft_listener::{ConnectionAcceptor, Connections};
 use ibiscroft_platform::StoreClient;
 use poem::Server;
 use poem::listener::TcpAcceptor;
@@ -29,6 +30,7 @@
 use crate::metrics::Metrics;
 use crate::operator_server::OperatorEndpoint;
 use crate::peer_link;
+use crate::permits::PermitSender;
 use crate::server::CallerEndpoint;
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -48,6 +50,8 @@
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Observations that may wait for the control thread.
 const OBSERVATION_QUEUE: usize = 4_096;
+/// Questions and reports about permits that may wait for the control thread.
+const PERMIT_QUEUE: usize = 4_096;
 /// Commands that may wait for the control thread.
 const COMMAND_QUEUE: usize = 64;
 
@@ -80,6 +84,7 @@
     let store = StoreClient::new(settings.store.clone(), STORE_TIMEOUT)?;
 
     let (observation_tx, observations) = mpsc::channel(OBSERVATION_QUEUE);
+    let (permit_tx, permits) = mpsc::channel(PERMIT_QUEUE);
     let (command_tx, commands) = mpsc::channel(COMMAND_QUEUE);
     let (event_tx, events) = mpsc::unbounded_channel();
     let shared = Arc::new(Shared {
@@ -90,6 +95,7 @@
         validity: Validity::default(),
         metrics: Metrics::new()?,
         observations: observation_tx,
+        permits: PermitSender::new(permit_tx),
     });
     let closing = Arc::new(AtomicBool::new(false));
 
@@ -106,7 +112,12 @@
         claims.clone(),
         event_tx.clone(),
     );
-    tokio::task::spawn_local(control.run(ControlInputs { events, observations, commands }));
+    tokio::task::spawn_local(control.run(ControlInputs {
+        events,
+        observations,
+        permits,
+        commands,
+    }));
     tokio::task::spawn_local(store_watch::watch(store, Arc::clone(&shared), event_tx.clone()));
     tokio::task::spawn_local(peer_link::listen(peer_listener, Arc::clone(&shared), event_tx));
     let operators =
@@ -118,9 +129,12 @@
     let forward = Forward::new(Arc::clone(&shared), BackendClient::new()?);
     let claim = Chain::new(Claim::new(claims.clone(), &limits), forward);
     let chain = Chain::new(Account::new(Arc::clone(&shared)), claim);
-    let callers = CallerEndpoint::new(Arc::clone(&shared), chain, Arc::clone(&closing));
+    let connections = Arc::new(Connections::default());
+    let acceptor = ConnectionAcceptor::new(caller_listener, Arc::clone(&connections))?;
+    let callers =
+        CallerEndpoint::new(Arc::clone(&shared), chain, connections, Arc::clone(&closing));
     let (stop_tx, stop_rx) = oneshot::channel::<()>();
-    let server = Server::new_with_acceptor(TcpAcceptor::from_std(caller_listener.into_std()?)?)
+    let server = Server::new_with_acceptor(acceptor)
         .idle_timeout(CALLER_IDLE_TIMEOUT)
         .run_with_graceful_shutdown(callers, async { drop(stop_rx.await) }, settings.drain_limit);
     let serving = traffic.spawn(server);
