feat(gateway): leaving targets come back by proof

A target that had said that it drains never came back, word of it was lost with a connection, and the platform's list was not read.

Change: the owner of a leaving target polls `/health` within the fleet's measuring budget and takes the run and state that the server names there; peers are told. The word of leaving is repeated every 5 s, and a peer that knows a serving run answers with it. The list of instances is read every 10 s when `instance_list` is set. The stand-in's `/health` carries run and state.

Ruled out: trial requests to a target that said that it leaves; the status of `/health`; refused connections as a cause of leaving (the selection backs off on them already, so that part of the core went).

Seen failing with the rule broken on purpose (process test): without polls the target does not come back; without any word the other gateways do not learn that it leaves. With the first word left out the repetition alone carries it. The list is tested in the core only.

--- a/ibiscroft-core/src/leaving.rs
+++ b/ibiscroft-core/src/leaving.rs
@@ -1,8 +1,8 @@
 //! Targets that start leaving.
 //!
-//! A target leaves when it says so itself, when it refuses connections, when a peer passes its
-//! word on, or when the platform's list says so. Each cause ends only by a proof of its own; the
-//! platform's list lags and never brings back a target that said that it leaves.
+//! A target leaves when it says so itself, when a peer passes its word on, or when the platform's
+//! list says so. Each cause ends only by a proof of its own; the platform's list lags and never
+//! brings back a target that said that it leaves.
 
 use std::collections::HashMap;
 
@@ -22,8 +22,6 @@
             /// When the request was sent.
             asked_at: Tick,
         },
-        /// A connection was refused.
-        Refused,
         /// A peer passed on that this run drains.
         PeerWord {
             /// Process run that drains.
@@ -46,7 +44,6 @@
     #[derive(Default)]
     struct Departure {
         drain: Option<Mark>,
-        refused: Option<Mark>,
         listed: Option<Mark>,
         is_listed: bool,
         run: Option<RunId>,
@@ -80,6 +77,13 @@
         self.departures.get(target).is_some_and(Departure::is_leaving)
     }
 
+    /// Returns the run that proved that a target serves, unless it is leaving.
+    #[must_use]
+    pub fn serving_run(&self, target: &TargetName) -> Option<&RunId> {
+        let departure = self.departures.get(target)?;
+        departure.run.as_ref().filter(|_| !departure.is_leaving())
+    }
+
     /// Returns the targets that are leaving.
     pub fn leaving(&self) -> impl Iterator<Item = &TargetName> {
         self.departures.iter().filter(|(_, departure)| departure.is_leaving()).map(|(name, _)| name)
@@ -113,11 +117,6 @@
                 departure.on_serving(run, *asked_at);
                 None
             }
-            Sighting::Refused => {
-                let run = departure.run.clone();
-                departure.refused = Some(Mark { since: now, run });
-                None
-            }
             Sighting::Listed { leaving } => {
                 departure.on_listed(*leaving, now);
                 None
@@ -128,7 +127,7 @@
 
 impl Departure {
     fn is_leaving(&self) -> bool {
-        self.drain.is_some() || self.refused.is_some() || self.listed.is_some()
+        self.drain.is_some() || self.listed.is_some()
     }
 
     fn on_draining(&mut self, run: &RunId, now: Tick) -> Option<RunId> {
@@ -166,7 +165,6 @@
         if let Some(mark) = self.drain.take_if(|mark| is_disproved(mark)) {
             self.ended_run = mark.run.filter(|old| old != run);
         }
-        self.refused.take_if(|mark| is_disproved(mark));
         self.listed.take_if(|mark| is_replaced(mark));
         if !self.is_leaving() {
             self.run = Some(run.clone());
--- a/ibiscroft-core/src/time.rs
+++ b/ibiscroft-core/src/time.rs
@@ -40,6 +40,12 @@
         self.0
     }
 
+    /// Returns the instant `span` earlier, not before the origin.
+    #[must_use]
+    pub const fn before(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(span.as_micros() as u64))
+    }
+
     /// Returns the time since `earlier`, zero when `earlier` is later than `self`.
     #[must_use]
     pub const fn since(self, earlier: Self) -> Duration {
--- a/ibiscroft-gateway/src/control.rs
+++ b/ibiscroft-gateway/src/control.rs
@@ -9,13 +9,14 @@
 use ibiscroft_core::leaving::Sighting;
 use ibiscroft_platform::{StoreClient, StoreError};
 use ibiscroft_wire::generated::peer::PeerMessage;
-use ibiscroft_wire::generated::store::WatchAnswer;
+use ibiscroft_wire::generated::store::{InstanceEntryState, InstanceList, WatchAnswer};
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::claims::ClaimsHandle;
 use crate::controllers::peers::{PeerEvent, Peers};
 use crate::controllers::permits::Permits;
+use crate::controllers::polls::{PollEnd, Polls};
 use crate::controllers::registers::Registers;
 use crate::controllers::roster::{LeaseEvent, Roster};
 use crate::controllers::targets::Targets;
@@ -32,6 +33,11 @@
 /// Sender of records that an operator handed over; no instance has this name.
 const OPERATOR: &str = "(operator)";
 
+/// Interval at which the word of leaving targets is repeated.
+const REMINDER_INTERVAL: Duration = Duration::from_secs(5);
+/// Longest time between a poll and the arrival of a peer's word of it.
+const PEER_WORD_AGE: Duration = Duration::from_secs(2);
+
 /// Something that happened outside the control thread's own state.
 #[derive(Debug)]
 pub(crate) enum ControlEvent {
@@ -50,6 +56,10 @@
     Lease(LeaseEvent),
     /// Something happened between gateways.
     Peer(PeerEvent),
+    /// The platform's list of instances was read.
+    Instances(InstanceList),
+    /// A poll of a target ended.
+    Polled(PollEnd),
     /// Something happened to a tripwire.
     Tripwire(TripwireEvent),
 }
@@ -92,9 +102,11 @@
     targets: Targets,
     roster: Roster,
     peers: Peers,
+    polls: Polls,
     permits: Permits,
     claims: ClaimsHandle,
     store_lost: bool,
+    next_reminder: Tick,
 }
 
 impl Control {
@@ -115,11 +127,13 @@
             targets: Targets::default(),
             roster: Roster::start(Rc::clone(&settings), Arc::clone(&shared), store, &events),
             permits: Permits::new(Arc::clone(&shared), events.clone()),
+            polls: Polls::new(Arc::clone(&shared), settings.instance.clone(), events.clone()),
             peers: Peers::new(Arc::clone(&shared), settings.instance.clone(), events),
             claims,
             shared,
             settings,
             store_lost: false,
+            next_reminder: Tick::ZERO,
         }
     }
 
@@ -154,6 +168,8 @@
                 self.permits.on_lease(&lease);
             }
             ControlEvent::Peer(peer) => self.on_peer(peer),
+            ControlEvent::Instances(list) => self.on_instances(&list),
+            ControlEvent::Polled(end) => self.on_polled(&end),
             ControlEvent::Tripwire(tripwire) => self.permits.on_tripwire(tripwire),
         }
     }
@@ -169,7 +185,9 @@
         if !members.is_empty() {
             self.claims.set_gateways(members.len());
         }
-        self.registers.set_roster(members.keys().cloned().collect());
+        let live: Vec<InstanceName> = members.keys().cloned().collect();
+        self.polls.set_roster(live.clone(), sent_at);
+        self.registers.set_roster(live);
         self.peers.set_roster(members);
         self.registers.on_watch(&answer.entries, is_full, sent_at, &mut self.peers);
     }
@@ -200,7 +218,17 @@
         }
         match message {
             PeerMessage::TargetLeaving { target, run } => {
+                let target = TargetName::new(target);
                 let sighting = Sighting::PeerWord { run: RunId::new(run) };
+                self.on_sighting(&target, &sighting, Some(from));
+                if let Some(run) = self.targets.serving_run(&target) {
+                    self.peers.send(from, &target_serving(&target, run));
+                }
+            }
+            PeerMessage::TargetServing { target, run } => {
+                let asked_at = self.shared.clock.now().before(PEER_WORD_AGE);
+                let run = RunId::new(run);
+                let sighting = Sighting::Answer { run, draining: false, asked_at };
                 self.on_sighting(&TargetName::new(target), &sighting, Some(from));
             }
             message => self.permits.on_peer(from, message, &mut self.peers),
@@ -217,6 +245,36 @@
         }
     }
 
+    /// Takes the platform's list; targets that it lacks stay as they are.
+    fn on_instances(&mut self, list: &InstanceList) {
+        let mut sightings = Vec::new();
+        for service in &self.registers.configuration().services {
+            for target in &service.targets {
+                let address = target.address.to_string();
+                let listed = list.instances.iter().find(|entry| entry.address == address);
+                if let Some(entry) = listed {
+                    let leaving = entry.state == InstanceEntryState::Leaving;
+                    sightings.push((target.name.clone(), Sighting::Listed { leaving }));
+                }
+            }
+        }
+        for (target, sighting) in &sightings {
+            self.on_sighting(target, sighting, None);
+        }
+    }
+
+    /// Takes the answer to a poll; a target that serves again is announced to all peers.
+    fn on_polled(&mut self, end: &PollEnd) {
+        self.polls.on_end(&end.target);
+        let Some(sighting) = &end.sighting else {
+            return;
+        };
+        self.on_sighting(&end.target, sighting, None);
+        if let Sighting::Answer { run, draining: false, .. } = sighting {
+            self.peers.broadcast(&target_serving(&end.target, run));
+        }
+    }
+
     /// Takes what was seen of a target and passes news on to the neighbours.
     fn on_sighting(
         &mut self,
@@ -260,6 +318,22 @@
     fn on_tick(&mut self) {
         self.registers.on_tick(&mut self.peers);
         self.permits.on_tick(&mut self.peers);
+        self.polls.on_tick(self.registers.configuration());
+        self.remind();
+    }
+
+    /// Repeats the word of leaving targets, in case a peer missed it or knows that one is back.
+    fn remind(&mut self) {
+        let now = self.shared.clock.now();
+        if now < self.next_reminder {
+            return;
+        }
+        self.next_reminder = now + REMINDER_INTERVAL;
+        for (target, run) in self.targets.draining() {
+            for to in self.registers.audience(None) {
+                self.peers.send(&to, &target_leaving(target, run));
+            }
+        }
     }
 
     fn publish_if_changed(&mut self) {
@@ -273,6 +347,10 @@
             return;
         }
         let zone = &self.settings.zone;
+        if registers_changed || targets_changed {
+            let targets = &self.targets;
+            self.polls.set_targets(self.registers.configuration(), |it| targets.is_leaving(it));
+        }
         let snapshot = self.targets.snapshot(&self.registers, &self.permits, zone);
         let metrics = &self.shared.metrics;
         metrics
@@ -296,6 +374,7 @@
             "roster": self.roster.dump(),
             "peers": self.peers.dump(),
             "permits": self.permits.dump(),
+            "polls": self.polls.dump(),
         })
     }
 }
@@ -304,6 +383,10 @@
     PeerMessage::TargetLeaving { target: target.to_string(), run: run.to_string() }
 }
 
+fn target_serving(target: &TargetName, run: &RunId) -> PeerMessage {
+    PeerMessage::TargetServing { target: target.to_string(), run: run.to_string() }
+}
+
 fn gauge(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
--- a/ibiscroft-gateway/src/controllers/targets.rs
+++ b/ibiscroft-gateway/src/controllers/targets.rs
@@ -52,6 +52,16 @@
         news
     }
 
+    /// Returns whether a target may not receive new work.
+    pub(crate) fn is_leaving(&self, target: &TargetName) -> bool {
+        self.leaving.is_leaving(target)
+    }
+
+    /// Returns the run that proved that a target serves, unless it is leaving.
+    pub(crate) fn serving_run(&self, target: &TargetName) -> Option<&RunId> {
+        self.leaving.serving_run(target)
+    }
+
     /// Returns the runs that said that they drain.
     pub(crate) fn draining(&self) -> impl Iterator<Item = (&TargetName, &RunId)> {
         self.leaving.draining()
--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::filters::account::Account;
 use crate::filters::claim::Claim;
 use crate::filters::forward::Forward;
+use crate::instance_watch;
 use crate::metrics::Metrics;
 use crate::operator_server::OperatorEndpoint;
 use crate::peer_link;
@@ -118,6 +119,10 @@
         permits,
         commands,
     }));
+    if let Some(address) = settings.instance_list {
+        let list = StoreClient::new(vec![address], STORE_TIMEOUT)?;
+        tokio::task::spawn_local(instance_watch::watch(list, event_tx.clone()));
+    }
     tokio::task::spawn_local(store_watch::watch(store, Arc::clone(&shared), event_tx.clone()));
     tokio::task::spawn_local(peer_link::listen(peer_listener, Arc::clone(&shared), event_tx));
     let operators =
--- a/ibiscroft-gateway/src/lib.rs
+++ b/ibiscroft-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod daemon;
 mod exchange;
 mod filters;
+mod instance_watch;
 mod metrics;
 mod observation;
 mod operator_server;
--- a/ibiscroft-gateway/src/settings.rs
+++ b/ibiscroft-gateway/src/settings.rs
@@ -29,6 +29,8 @@
     pub peer_listen: SocketAddr,
     /// Addresses of the key-value service.
     pub store: Vec<SocketAddr>,
+    /// Address of the platform's list of instances.
+    pub instance_list: Option<SocketAddr>,
     /// Threads for traffic.
     pub traffic_threads: usize,
     /// Time between not ready and the end of accepting.
@@ -71,6 +73,10 @@
                 .enumerate()
                 .map(|(index, text)| address(text, &format!("/store/{index}"), &mut faults))
                 .collect(),
+            instance_list: found
+                .instance_list
+                .as_deref()
+                .map(|text| address(text, "/instance_list", &mut faults)),
             traffic_threads: found
                 .traffic_threads
                 .map_or(DEFAULT_TRAFFIC_THREADS, |count| count as usize),
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway.
 
 mod catalogues;
+mod leaving;
 mod operators;
 mod orders;
 mod registers;
--- a/ibiscroft-lab/src/backend/api.rs
+++ b/ibiscroft-lab/src/backend/api.rs
@@ -76,7 +76,10 @@
     let mut inner = shared.lock();
     inner.polls.on_health(now);
     let status = if inner.unhealthy { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
-    status.into()
+    drop(inner);
+    let mut response: Response = status.into();
+    mark(shared, &mut response, None);
+    response
 }
 
 async fn run(
