--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -2,6 +2,8 @@
 
 mod catalogues;
 mod cold_start;
+mod leaving;
+mod operators;
 mod orders;
 mod overload;
 mod registers;
