feat(lab): experiment that compares ways to select a target

Ruled out: 18 gateway processes, which ten cores don't carry at these rates; the core's selectors run in one process, each gateway with its own view, on real HTTP calls to stand-ins that turn 5x slow for 60 ms. Change: `ibiscroft-lab experiment`: six ways, loads, queue lengths, seeds; JSON a cell and a table with p99 against a global view. Conclusion: cargo test -p ibiscroft-lab passes; zones and resends are not in it.

--- a/ibiscroft-lab/src/cli.rs
+++ b/ibiscroft-lab/src/cli.rs
@@ -3,6 +3,7 @@
 mod added_latency;
 mod control_cost;
 mod demo;
+mod experiment;
 mod load;
 mod serve;
 
@@ -37,6 +38,8 @@
     Load(load::LoadArguments),
     #[options(help = "run the whole system while servers and a zone leave")]
     Demo(demo::DemoArguments),
+    #[options(help = "compare ways to select a target")]
+    Experiment(experiment::ExperimentArguments),
 }
 
 /// Runs the subcommand named in the arguments of the process.
@@ -53,6 +56,7 @@
         Some(Command::Demo(arguments)) => return demo::demo(arguments).await,
         Some(Command::ControlCost(arguments)) => control_cost::run(arguments).await?,
         Some(Command::AddedLatency(arguments)) => added_latency::run(arguments).await?,
+        Some(Command::Experiment(arguments)) => experiment::run(arguments).await?,
         None => bail!("no command given\n\n{}", Arguments::usage()),
     }
     Ok(ExitCode::SUCCESS)
--- /dev/null
+++ b/ibiscroft-lab/src/experiment/gateway.rs
@@ -0,0 +1,116 @@
+//! A gateway of the experiment: one view of the load and the calls it sends.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use eyre::Result;
+use ibiscroft_core::Tick;
+use ibiscroft_core::selection::{Candidate, Pool, Report, Selection, Selector, Tried};
+use ibiscroft_wire::headers;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use reqwest::{Client, Response, StatusCode};
+
+use crate::load::Planned;
+
+/// One call that has ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Call {
+    /// Planned time since the start of the cell.
+    pub(super) at: Duration,
+    /// Time from the planned time to the end of the answer.
+    pub(super) latency: Duration,
+    /// Work that it asked for.
+    pub(super) work: Duration,
+    /// Whether a target answered.
+    pub(super) answered: bool,
+    /// Targets that refused it.
+    pub(super) refusals: usize,
+}
+
+impl Call {
+    /// Returns the latency without the work that the call asked for.
+    pub(super) fn wait(&self) -> Duration {
+        self.latency.saturating_sub(self.work)
+    }
+}
+
+/// A gateway of the experiment.
+#[derive(Debug)]
+pub(super) struct ExperimentGateway<S> {
+    pool: Arc<Pool>,
+    selector: S,
+    rng: Mutex<SmallRng>,
+    client: Client,
+}
+
+impl<S: Selector> ExperimentGateway<S> {
+    pub(super) fn new(pool: Arc<Pool>, selector: S, seed: u64) -> Result<Self> {
+        let client = Client::builder().no_proxy().http1_only().tcp_nodelay(true).build()?;
+        let rng = Mutex::new(SmallRng::seed_from_u64(seed));
+        Ok(Self { pool, selector, rng, client })
+    }
+
+    /// Offers a call to one target after the other until one answers.
+    pub(super) async fn call(&self, call: &Planned, started: Instant) -> Call {
+        let planned = started + call.at;
+        let mut tried = Tried::default();
+        let mut refusals = 0;
+        let mut answered = false;
+        while let Some(index) = self.select(&tried, started) {
+            tried.insert(index);
+            if self.attempt(self.pool.candidate(index), call.work_ms, started).await {
+                answered = true;
+                break;
+            }
+            refusals += 1;
+        }
+        let work = Duration::from_secs_f64(call.work_ms / 1_000.0);
+        Call { at: call.at, latency: planned.elapsed(), work, answered, refusals }
+    }
+
+    fn select(&self, tried: &Tried, started: Instant) -> Option<usize> {
+        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+        match self.selector.select(&self.pool, tried, now(started), &mut *rng) {
+            Selection::Warm(index) => Some(index),
+            _ => None,
+        }
+    }
+
+    /// Sends a call to one target and returns whether it answered.
+    async fn attempt(&self, candidate: &Candidate, work_ms: f64, started: Instant) -> bool {
+        let in_flight = candidate.load.begin();
+        let url = format!("http://{}/?work_ms={work_ms:.3}", candidate.target.address);
+        let Ok(response) = self.client.get(url).send().await else {
+            return false;
+        };
+        if let Some(report) = report(&response) {
+            candidate.load.note_report(report);
+        }
+        if response.status() != StatusCode::OK {
+            in_flight.end_shed(now(started));
+            return false;
+        }
+        let is_whole = response.bytes().await.is_ok();
+        in_flight.end_answer(now(started));
+        is_whole
+    }
+}
+
+/// Returns the load that an answer carries.
+fn report(response: &Response) -> Option<Report> {
+    parse_report(response.headers().get(headers::LOAD)?.to_str().ok()?)
+}
+
+/// Returns the load in a text of the form `running/slots/waiting`.
+pub(super) fn parse_report(text: &str) -> Option<Report> {
+    let mut parts = text.split('/');
+    let running = parts.next()?.parse().ok()?;
+    let _slots = parts.next()?;
+    let waiting = parts.next()?.parse().ok()?;
+    Some(Report { running, waiting })
+}
+
+fn now(started: Instant) -> Tick {
+    Tick::ZERO + started.elapsed()
+}
--- /dev/null
+++ b/ibiscroft-lab/src/experiment/global_view.rs
@@ -0,0 +1,31 @@
+//! Selection with a view that no gateway has, as the bound to compare with.
+
+use ibiscroft_core::Tick;
+use ibiscroft_core::selection::{Pool, Selection, Selector, Tried};
+use rand::Rng;
+
+/// The target with the fewest requests in flight from all gateways, which share their loads.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct GlobalView;
+
+impl Selector for GlobalView {
+    fn select(&self, pool: &Pool, tried: &Tried, _now: Tick, rng: &mut impl Rng) -> Selection {
+        if tried.is_full() {
+            return Selection::Exhausted;
+        }
+        let count = pool.warm().len();
+        let offset = rng.random_range(0..count.max(1));
+        let mut least: Option<(u32, usize)> = None;
+        for step in 0..count {
+            let index = pool.warm()[(offset + step) % count];
+            if tried.contains(index) {
+                continue;
+            }
+            let in_flight = pool.candidate(index).load.in_flight();
+            if least.is_none_or(|(fewest, _)| in_flight < fewest) {
+                least = Some((in_flight, index));
+            }
+        }
+        least.map_or(Selection::Exhausted, |(_, index)| Selection::Warm(index))
+    }
+}
--- /dev/null
+++ b/ibiscroft-lab/src/experiment/polled.rs
@@ -0,0 +1,70 @@
+//! Weighting by a polled metric with history, as mod_oc4j does.
+
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+use ibiscroft_core::Tick;
+use ibiscroft_core::selection::{
+    MetricWeighted, Pool, Selection, Selector, Tried, smoothed_metric,
+};
+use rand::Rng;
+use reqwest::Client;
+use tokio::task::JoinHandle;
+
+use super::gateway::parse_report;
+
+/// Time between two polls of a target.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Metric of a target that was never polled.
+const IDLE_METRIC: f64 = 100.0;
+
+/// Polls each target and weights by what it said.
+#[derive(Debug)]
+pub(super) struct PolledMetric {
+    weights: Arc<RwLock<MetricWeighted>>,
+    task: JoinHandle<()>,
+}
+
+impl PolledMetric {
+    /// Starts polling; must be called within a runtime.
+    pub(super) fn start(pool: &Arc<Pool>) -> Self {
+        let metrics = vec![IDLE_METRIC; pool.candidates().len()];
+        let weights = Arc::new(RwLock::new(MetricWeighted::new(&metrics)));
+        let task = tokio::spawn(poll(pool.clone(), metrics, weights.clone()));
+        Self { weights, task }
+    }
+}
+
+impl Drop for PolledMetric {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Selector for PolledMetric {
+    fn select(&self, pool: &Pool, tried: &Tried, now: Tick, rng: &mut impl Rng) -> Selection {
+        let weights = self.weights.read().unwrap_or_else(PoisonError::into_inner);
+        weights.select(pool, tried, now, rng)
+    }
+}
+
+async fn poll(pool: Arc<Pool>, mut metrics: Vec<f64>, weights: Arc<RwLock<MetricWeighted>>) {
+    let client = Client::builder().no_proxy().build().unwrap_or_default();
+    let mut interval = tokio::time::interval(POLL_INTERVAL);
+    loop {
+        interval.tick().await;
+        for (candidate, metric) in pool.candidates().iter().zip(&mut metrics) {
+            let url = format!("http://{}/load", candidate.target.address);
+            let Ok(response) = client.get(url).send().await else {
+                continue;
+            };
+            let text = response.text().await.unwrap_or_default();
+            let Some(report) = parse_report(&text) else {
+                continue;
+            };
+            *metric = smoothed_metric(report.running + report.waiting, *metric);
+        }
+        let next = MetricWeighted::new(&metrics);
+        *weights.write().unwrap_or_else(PoisonError::into_inner) = next;
+    }
+}
--- a/ibiscroft-lab/src/lib.rs
+++ b/ibiscroft-lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cli;
 pub mod control_cost;
 pub mod demo;
+pub mod experiment;
 pub mod judge;
 pub mod load;
 mod measured_fleet;
--- a/ibiscroft-lab/src/load.rs
+++ b/ibiscroft-lab/src/load.rs
@@ -21,13 +21,13 @@
 use tokio::task::JoinHandle;
 
 use caller::Caller;
-use plan::Planned;
 
 pub use key::timed_key;
 pub use mix::{CallKind, WorkDistribution};
 pub use options::LoadOptions;
 pub use outcome::Outcome;
-pub use plan::Plan;
+pub(crate) use pacer::pace;
+pub use plan::{Plan, Planned};
 pub use records::{CallRecord, Records};
 pub use report::{KindReport, Latencies, LoadReport, OutcomeCounts};
 
@@ -47,7 +47,7 @@
         let caller = Arc::new(Caller::new(options.clone())?);
         let plan = Plan::new(&options);
         let started = Instant::now();
-        let planned = pacer::start(plan, started);
+        let planned = pace(plan, started);
         let done = Arc::new(AtomicU64::new(0));
         let task = tokio::spawn(send_all(options, caller, planned, started, done.clone()));
         Ok(RunningLoad { task, done })
--- a/ibiscroft-lab/src/load/pacer.rs
+++ b/ibiscroft-lab/src/load/pacer.rs
@@ -8,7 +8,7 @@
 use super::plan::{Plan, Planned};
 
 /// Starts the thread; it ends with the plan, or when the receiver is dropped.
-pub(super) fn start(plan: Plan, started: Instant) -> UnboundedReceiver<Planned> {
+pub(crate) fn pace(plan: Plan, started: Instant) -> UnboundedReceiver<Planned> {
     let (tx, rx) = mpsc::unbounded_channel();
     thread::spawn(move || {
         for call in plan {
--- a/ibiscroft-lab/tests/it/main.rs
+++ b/ibiscroft-lab/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod added_time;
 mod backend;
 mod cold_start;
+mod experiment;
 mod load;
 mod orders;
 mod planned_stop;
