--- a/ibiscroft-gateway/src/controllers/targets.rs
+++ b/ibiscroft-gateway/src/controllers/targets.rs
@@ -3,12 +3,15 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
+use ibiscroft_core::Tick;
 use ibiscroft_core::budget::ServiceBudget;
 use ibiscroft_core::config::{Configuration, Service, Target, ZoneState};
-use ibiscroft_core::ids::{ServiceName, TargetName, ZoneName};
+use ibiscroft_core::ids::{RunId, ServiceName, TargetName, ZoneName};
+use ibiscroft_core::leaving::{LeavingTargets, Sighting};
 use ibiscroft_core::selection::{Candidate, Eligibility, LoadTable, Pool};
 use serde_json::{Value, json};
 
+use crate::controllers::permits::Permits;
 use crate::controllers::registers::Registers;
 use crate::events::event;
 use crate::snapshot::{ServiceView, Snapshot};
@@ -18,7 +21,7 @@
 pub(crate) struct Targets {
     loads: LoadTable,
     budgets: HashMap<ServiceName, Arc<ServiceBudget>>,
-    leaving: HashSet<TargetName>,
+    leaving: LeavingTargets,
     changed: bool,
 }
 
@@ -28,23 +31,49 @@
         std::mem::take(&mut self.changed)
     }
 
-    /// Notes that a target leaves; returns whether that is news.
-    pub(crate) fn on_leaving(&mut self, target: &TargetName) -> bool {
-        if !self.leaving.insert(target.clone()) {
-            return false;
+    /// Takes what was seen of a target; returns the draining run when peers have to be told.
+    pub(crate) fn on_sighting(
+        &mut self,
+        target: &TargetName,
+        sighting: &Sighting,
+        now: Tick,
+    ) -> Option<RunId> {
+        let was_leaving = self.leaving.is_leaving(target);
+        let news = self.leaving.on_sighting(target, sighting, now);
+        let is_leaving = self.leaving.is_leaving(target);
+        if is_leaving != was_leaving {
+            self.changed = true;
+            if is_leaving {
+                event!(TargetLeaving, "target {target}");
+            } else {
+                event!(TargetBack, "target {target}");
+            }
         }
-        event!(TargetLeaving, "target {target}");
-        self.changed = true;
-        true
+        news
+    }
+
+    /// Returns the runs that said that they drain.
+    pub(crate) fn draining(&self) -> impl Iterator<Item = (&TargetName, &RunId)> {
+        self.leaving.draining()
     }
 
     /// Makes the view for traffic threads from the registers and the state of targets.
-    pub(crate) fn snapshot(&mut self, registers: &Registers, own_zone: &ZoneName) -> Snapshot {
+    pub(crate) fn snapshot(
+        &mut self,
+        registers: &Registers,
+        permits: &Permits,
+        own_zone: &ZoneName,
+    ) -> Snapshot {
         let cfg = registers.configuration();
         self.forget_unconfigured(cfg);
         let mut services = Vec::with_capacity(cfg.services.len());
         for service in &cfg.services {
-            services.push(Arc::new(self.service_view(service, registers.zones(), own_zone)));
+            services.push(Arc::new(self.service_view(
+                service,
+                registers.zones(),
+                permits,
+                own_zone,
+            )));
         }
         Snapshot { generation: cfg.generation, services }
     }
@@ -80,33 +109,38 @@
         &mut self,
         service: &Service,
         zones: &ZoneState,
+        permits: &Permits,
         own_zone: &ZoneName,
     ) -> ServiceView {
         let mut candidates = Vec::with_capacity(service.targets.len());
+        let mut proofs = Vec::with_capacity(service.targets.len());
         for target in &service.targets {
+            let proof = permits.proof(&target.name);
             candidates.push(Candidate {
                 target: target.clone(),
-                eligibility: self.eligibility(target, zones),
+                eligibility: self.eligibility(target, zones, proof.is_some()),
                 load: self.loads.entry(&target.name),
             });
+            proofs.push(proof);
         }
         let budget = self.budgets.entry(service.name.clone());
         let budget = budget.or_insert_with(|| Arc::new(ServiceBudget::new(service.retry_share)));
         ServiceView {
             service: service.clone(),
             pool: Pool::new(own_zone, candidates),
+            proofs,
             budget: Arc::clone(budget),
         }
     }
 
-    fn eligibility(&self, target: &Target, zones: &ZoneState) -> Eligibility {
+    fn eligibility(&self, target: &Target, zones: &ZoneState, is_warm: bool) -> Eligibility {
         if zones.is_out(&target.zone) {
             return Eligibility::ZoneOut;
         }
-        if self.leaving.contains(&target.name) {
+        if self.leaving.is_leaving(&target.name) {
             return Eligibility::Leaving;
         }
-        Eligibility::Warm
+        if is_warm { Eligibility::Warm } else { Eligibility::Cold }
     }
 }
 
--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -30,11 +30,13 @@
 use crate::metrics::Metrics;
 use crate::operator_server::OperatorEndpoint;
 use crate::peer_link;
+use crate::permits::PermitSender;
 use crate::server::CallerEndpoint;
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
 use crate::store_watch;
+use crate::validity::Validity;
 
 /// Longest time of one call to the key-value service.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -48,6 +50,8 @@
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Observations that may wait for the control thread.
 const OBSERVATION_QUEUE: usize = 4_096;
+/// Questions and reports about permits that may wait for the control thread.
+const PERMIT_QUEUE: usize = 4_096;
 /// Commands that may wait for the control thread.
 const COMMAND_QUEUE: usize = 64;
 
@@ -80,6 +84,7 @@
     let store = StoreClient::new(settings.store.clone(), STORE_TIMEOUT)?;
 
     let (observation_tx, observations) = mpsc::channel(OBSERVATION_QUEUE);
+    let (permit_tx, permits) = mpsc::channel(PERMIT_QUEUE);
     let (command_tx, commands) = mpsc::channel(COMMAND_QUEUE);
     let (event_tx, events) = mpsc::unbounded_channel();
     let shared = Arc::new(Shared {
@@ -87,8 +92,10 @@
         run: RunId::new(format!("{:08x}", rand::random::<u32>())),
         clock: Clock::start(),
         snapshot: ArcSwap::from_pointee(Snapshot::empty()),
+        validity: Validity::default(),
         metrics: Metrics::new()?,
         observations: observation_tx,
+        permits: PermitSender::new(permit_tx),
     });
     let closing = Arc::new(AtomicBool::new(false));
 
@@ -105,7 +112,12 @@
         claims.clone(),
         event_tx.clone(),
     );
-    tokio::task::spawn_local(control.run(ControlInputs { events, observations, commands }));
+    tokio::task::spawn_local(control.run(ControlInputs {
+        events,
+        observations,
+        permits,
+        commands,
+    }));
     tokio::task::spawn_local(store_watch::watch(store, Arc::clone(&shared), event_tx.clone()));
     tokio::task::spawn_local(peer_link::listen(peer_listener, Arc::clone(&shared), event_tx));
     let operators =
--- a/ibiscroft-gateway/src/shared.rs
+++ b/ibiscroft-gateway/src/shared.rs
@@ -9,7 +9,9 @@
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::observation::Observation;
+use crate::permits::PermitSender;
 use crate::snapshot::Snapshot;
+use crate::validity::Validity;
 
 /// Handles that each traffic thread uses.
 #[derive(Debug)]
@@ -22,10 +24,14 @@
     pub(crate) clock: Clock,
     /// The view that control published last.
     pub(crate) snapshot: ArcSwap<Snapshot>,
+    /// Until when the view may be relied on.
+    pub(crate) validity: Validity,
     /// Metrics of the process.
     pub(crate) metrics: Metrics,
     /// Towards the control thread; full means that observations are dropped and counted.
     pub(crate) observations: mpsc::Sender<Observation>,
+    /// Asks control for permits and reports their use.
+    pub(crate) permits: PermitSender,
 }
 
 impl Shared {
