feat(lab): demo and process tests begin with warm targets

Cause: with permits in the gateway every target is cold to it at the start; 6 process tests and the demo failed (most calls were refused as not run). Ruled out: a fault of the gateway; default deny is meant. Change: warm_up sends one request after the other until each gateway's dump calls every target warm; the demo's backend servers really start cold, and its table judges requests above what they bear.

--- a/ibiscroft-lab/src/demo/fleet.rs
+++ b/ibiscroft-lab/src/demo/fleet.rs
@@ -14,6 +14,7 @@
 
 use crate::judge::BackendAdmin;
 use crate::process::{GatewayAddresses, Process, StandInAddresses, program};
+use crate::warm_up::warm_up;
 
 /// Availability zones.
 pub(super) const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
@@ -24,6 +25,10 @@
 const DRAIN_NOTICE_MS: u32 = 500;
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 const READY_INTERVAL: Duration = Duration::from_millis(50);
+/// Requests at once that a backend server bears while cold.
+const COLD_BEARS: u32 = 2;
+/// Time with traffic until a backend server is warm, in milliseconds.
+const COLD_MS: u32 = 1_000;
 const ANY_PORT: &str = "127.0.0.1:0";
 
 /// A backend server of the demo.
@@ -74,6 +79,8 @@
         for gateway in &fleet.gateways {
             wait_until_ready(gateway).await?;
         }
+        let addresses: Vec<_> = fleet.gateways.iter().map(|gateway| gateway.addresses).collect();
+        warm_up(&addresses).await?;
         Ok(fleet)
     }
 
@@ -153,8 +160,8 @@
                 never_run_twice: vec![ServiceAnswersNeverRunTwiceItem::Post],
                 callers_wait_ms: 5_000,
                 queue_wait_ms: None,
-                cold_target_bears: 2,
-                cold_lasts_ms: 1_000,
+                cold_target_bears: COLD_BEARS,
+                cold_lasts_ms: COLD_MS,
                 measuring_per_second: 2,
                 targets,
             }],
@@ -178,6 +185,7 @@
     let arguments = [
         ["backend", "--listen", ANY_PORT, "--admin", ANY_PORT].as_slice(),
         &["--name", &name, "--journal", &journal_text],
+        &["--cold-bears", &COLD_BEARS.to_string(), "--cold-ms", &COLD_MS.to_string()],
     ];
     let arguments: Vec<String> = arguments.concat().into_iter().map(String::from).collect();
     let own = std::env::current_exe()?;
--- a/ibiscroft-lab/src/demo/verdict.rs
+++ b/ibiscroft-lab/src/demo/verdict.rs
@@ -8,6 +8,7 @@
 use super::added_time::AddedTime;
 use super::fleet::Fleet;
 use super::steps::{self, IN_FORCE, Steps};
+use crate::backend::BackendCounters;
 use crate::judge::Executed;
 use crate::load::{LoadReport, Outcome, Records};
 
@@ -23,6 +24,7 @@
     doubled: usize,
     ran_though_not_run: usize,
     sent_to_zone_out: u64,
+    sent_to_cold: u64,
     drain_received: u64,
     drain_last_after: Duration,
     received_after_return: u64,
@@ -35,7 +37,8 @@
         let journals: Vec<_> = fleet.backends.iter().map(|backend| &backend.journal).collect();
         let executed = Executed::read(&journals)?;
         let counts = Outcome::ALL.map(|outcome| (outcome, records.count(outcome))).to_vec();
-        let (drain_received, drain_last_after) = drained(fleet, &steps.killed).await?;
+        let counters = living(fleet, &steps.killed).await?;
+        let last_ms = counters.iter().map(|counters| counters.last_while_draining_ms).max();
         let returned = steps::received_in(fleet, steps::out_zone()).await?;
         Ok(Self {
             report: LoadReport::new(records)?,
@@ -44,8 +47,9 @@
             doubled: executed.doubled().len(),
             ran_though_not_run: executed.ran(&records.names(Outcome::NotRun)).len(),
             sent_to_zone_out: steps.received_while_out,
-            drain_received,
-            drain_last_after,
+            sent_to_cold: counters.iter().map(|counters| counters.cold_violations).sum(),
+            drain_received: counters.iter().map(|counters| counters.received_while_draining).sum(),
+            drain_last_after: Duration::from_millis(last_ms.unwrap_or(0)),
             received_after_return: returned - steps.received_before_return,
             added: added_time(fleet).await?,
         })
@@ -81,6 +85,7 @@
             Row::none("unexpected answers", self.count(Outcome::Unexpected)),
             Row::none("not sent by the load tool", self.count(Outcome::NotSent)),
             Row::none("sent to the zone out, after 3 s", self.sent_to_zone_out),
+            Row::none("above what cold servers bear", self.sent_to_cold),
             Row::judged(
                 "sent to the draining server",
                 format!("{}, the last after {drain_last} ms", self.drain_received),
@@ -105,6 +110,7 @@
     fn bound(&self, quantile: f64) -> String {
         match self.added.bound_ms(quantile) {
             Some(bound) => format!("up to {bound} ms"),
+            None if self.added.calls() > 0 => "above the last bucket".to_string(),
             None => "not measured".to_string(),
         }
     }
@@ -143,19 +149,16 @@
     }
 }
 
-/// Returns what the draining server received after its announcement.
-async fn drained(fleet: &Fleet, killed: &str) -> Result<(u64, Duration)> {
-    let mut received = 0;
-    let mut last_after = Duration::ZERO;
+/// Returns the counters of the servers that were not killed.
+async fn living(fleet: &Fleet, killed: &str) -> Result<Vec<BackendCounters>> {
+    let mut counters = Vec::new();
     for backend in &fleet.backends {
         if backend.process.name() == killed {
             continue;
         }
-        let counters = backend.admin.counters().await?;
-        received += counters.received_while_draining;
-        last_after = last_after.max(Duration::from_millis(counters.last_while_draining_ms));
+        counters.push(backend.admin.counters().await?);
     }
-    Ok((received, last_after))
+    Ok(counters)
 }
 
 async fn added_time(fleet: &Fleet) -> Result<AddedTime> {
--- a/ibiscroft-lab/src/judge.rs
+++ b/ibiscroft-lab/src/judge.rs
@@ -48,6 +48,16 @@
         Ok(())
     }
 
+    /// Sets its counters to zero.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it does not answer.
+    pub async fn reset(&self) -> Result<()> {
+        self.client.post(self.url("/reset")).send().await?.error_for_status()?;
+        Ok(())
+    }
+
     /// Returns which of the calls ran there.
     ///
     /// # Errors
--- a/ibiscroft-lab/src/lib.rs
+++ b/ibiscroft-lab/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod scenario;
 pub mod server;
 pub mod store;
+pub mod warm_up;
--- a/ibiscroft-lab/tests/it/support.rs
+++ b/ibiscroft-lab/tests/it/support.rs
@@ -8,6 +8,7 @@
 use ibiscroft_lab::judge::{BackendAdmin, Executed};
 use ibiscroft_lab::process::{GatewayAddresses, Process, StandInAddresses, program};
 use ibiscroft_lab::store::{RunningStore, Store, StoreOptions};
+use ibiscroft_lab::warm_up::warm_up;
 use reqwest::{Client, Method, RequestBuilder};
 use serde_json::json;
 use tokio::process::Command;
@@ -69,6 +70,11 @@
             system.wait_until_ready(&gateway).await;
             system.gateways.push(gateway);
         }
+        let addresses: Vec<_> = system.gateways.iter().map(|gateway| gateway.addresses).collect();
+        warm_up(&addresses).await.unwrap();
+        for backend in &system.backends {
+            backend.admin.reset().await.unwrap();
+        }
         system
     }
 
