fix: expected waits count the places, and limits follow the view

Requests sent one at a time made the measured rate look like one place's, so a burst after a quiet time was refused (3 of 120 answered where 6 places stood free). Waiting requests kept the limits of the view they arrived under, and a service whose targets had been cold had to learn its concurrency anew. Ruled out: a faster average (it would still know one place only).

--- a/ibiscroft-core/src/admission/queue.rs
+++ b/ibiscroft-core/src/admission/queue.rs
@@ -5,7 +5,7 @@
 
 use super::concurrency::ConcurrencyLimit;
 use super::departures::Departures;
-use super::{Limits, Outcome, Patience, Ticket};
+use super::{Ended, Limits, Patience, Ticket};
 use crate::Tick;
 
 /// Shortest time after which a refused caller is asked to come back.
@@ -115,11 +115,11 @@
     }
 
     /// Ends a request that ran.
-    pub fn release(&mut self, limits: &Limits, now: Tick, patience: Patience, outcome: Outcome) {
-        self.concurrency.adjust(limits.slots, self.running, outcome);
-        self.departures.note_departure(now);
+    pub fn release(&mut self, limits: &Limits, now: Tick, ended: &Ended) {
+        self.concurrency.adjust(limits.slots, self.running, ended.outcome);
+        self.departures.note_departure(now, ended.started);
         self.running = self.running.saturating_sub(1);
-        if patience == Patience::Patient {
+        if ended.patience == Patience::Patient {
             self.running_patient = self.running_patient.saturating_sub(1);
         }
     }
@@ -128,10 +128,10 @@
     ///
     /// It waits ahead of the others until `until`, the end of its first wait, and is refused
     /// when that has passed. `until` is also the bound of all its waits together.
-    pub fn requeue(&mut self, now: Tick, until: Tick, waiter: W) -> Arrival<W> {
-        let wait = self.departures.expected(now, 1);
-        if now + wait >= until {
-            return refused(waiter, self.departures.expected(now, self.queue.len() + 1));
+    pub fn requeue(&mut self, limits: &Limits, now: Tick, until: Tick, waiter: W) -> Arrival<W> {
+        let places = self.concurrency(limits);
+        if now + self.departures.expected(now, 1, places) >= until {
+            return refused(waiter, self.departures.expected(now, self.queue.len() + 1, places));
         }
         self.queue.push_front(Waiting { until, waiter });
         Arrival::Waits
@@ -171,7 +171,7 @@
             self.start(now);
             return Arrival::Run(waiter);
         }
-        let wait = self.departures.expected(now, self.queue.len() + 1);
+        let wait = self.departures.expected(now, self.queue.len() + 1, self.concurrency(limits));
         let allowed = self.allowed_wait(limits, now).min(deadline.since(now));
         if self.queue.len() >= limits.queue as usize || wait > allowed {
             return refused(waiter, wait);
@@ -201,7 +201,8 @@
             return Arrival::Run(waiter);
         }
         if self.patient.len() >= limits.patient_queue as usize || deadline <= now {
-            let wait = self.departures.expected(now, self.patient.len() + 1);
+            let wait =
+                self.departures.expected(now, self.patient.len() + 1, self.concurrency(limits));
             return refused(waiter, wait);
         }
         self.patient.push_back(Waiting { until: deadline, waiter });
--- a/ibiscroft-gateway/src/control.rs
+++ b/ibiscroft-gateway/src/control.rs
@@ -15,13 +15,16 @@
 
 use crate::claims::ClaimsHandle;
 use crate::controllers::peers::{PeerEvent, Peers};
+use crate::controllers::permits::Permits;
 use crate::controllers::registers::Registers;
 use crate::controllers::roster::{LeaseEvent, Roster};
 use crate::controllers::targets::Targets;
 use crate::events::event;
 use crate::observation::Observation;
+use crate::permits::PermitEvent;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::tripwire::TripwireEvent;
 
 /// Interval of periodic work.
 const TICK: Duration = Duration::from_millis(50);
@@ -47,6 +50,8 @@
     Lease(LeaseEvent),
     /// Something happened between gateways.
     Peer(PeerEvent),
+    /// Something happened to a tripwire.
+    Tripwire(TripwireEvent),
 }
 
 /// A request to the control thread that expects an answer.
@@ -72,6 +77,8 @@
     pub(crate) events: mpsc::UnboundedReceiver<ControlEvent>,
     /// From traffic threads.
     pub(crate) observations: mpsc::Receiver<Observation>,
+    /// Questions and reports about permits from traffic threads.
+    pub(crate) permits: mpsc::Receiver<PermitEvent>,
     /// From the operators' listener and the daemon.
     pub(crate) commands: mpsc::Receiver<ControlCommand>,
 }
@@ -85,6 +92,7 @@
     targets: Targets,
     roster: Roster,
     peers: Peers,
+    permits: Permits,
     claims: ClaimsHandle,
     store_lost: bool,
 }
@@ -106,6 +114,7 @@
             ),
             targets: Targets::new(shared.clock),
             roster: Roster::start(Rc::clone(&settings), Arc::clone(&shared), store, &events),
+            permits: Permits::new(Arc::clone(&shared), events.clone()),
             peers: Peers::new(Arc::clone(&shared), settings.instance.clone(), events),
             claims,
             shared,
@@ -122,6 +131,9 @@
             tokio::select! {
                 Some(event) = inputs.events.recv() => self.on_event(event),
                 Some(seen) = inputs.observations.recv() => self.on_observation(&seen),
+                Some(event) = inputs.permits.recv() => {
+                    self.permits.on_traffic(event, &mut self.peers);
+                }
                 Some(command) = inputs.commands.recv() => self.on_command(command).await,
                 _ = timer.tick() => self.on_tick(),
                 else => return,
@@ -134,10 +146,15 @@
         match event {
             ControlEvent::Watch { answer, is_full, sent_at } => {
                 self.on_watch(&answer, is_full, sent_at);
+                self.permits.on_watch(&answer, is_full, sent_at);
             }
             ControlEvent::WatchFailed(error) => self.on_watch_failed(&error),
-            ControlEvent::Lease(lease) => self.roster.on_lease(&lease),
+            ControlEvent::Lease(lease) => {
+                self.roster.on_lease(&lease);
+                self.permits.on_lease(&lease);
+            }
             ControlEvent::Peer(peer) => self.on_peer(peer),
+            ControlEvent::Tripwire(tripwire) => self.permits.on_tripwire(tripwire),
         }
     }
 
@@ -181,9 +198,12 @@
         if self.registers.on_message(from, &message, &mut self.peers) {
             return;
         }
-        if let PeerMessage::TargetLeaving { target, run } = message {
-            let sighting = Sighting::PeerWord { run: RunId::new(run) };
-            self.on_sighting(&TargetName::new(target), &sighting, Some(from));
+        match message {
+            PeerMessage::TargetLeaving { target, run } => {
+                let sighting = Sighting::PeerWord { run: RunId::new(run) };
+                self.on_sighting(&TargetName::new(target), &sighting, Some(from));
+            }
+            message => self.permits.on_peer(from, message, &mut self.peers),
         }
     }
 
@@ -230,6 +250,7 @@
                 }));
             }
             ControlCommand::Leave(done) => {
+                self.permits.on_lease(&LeaseEvent::Lost);
                 self.roster.leave().await;
                 let _ = done.send(());
             }
@@ -238,15 +259,21 @@
 
     fn on_tick(&mut self) {
         self.registers.on_tick(&mut self.peers);
+        self.permits.on_tick(&mut self.peers);
     }
 
     fn publish_if_changed(&mut self) {
         let registers_changed = self.registers.take_changed();
         let targets_changed = self.targets.take_changed();
-        if !registers_changed && !targets_changed {
+        if registers_changed {
+            self.permits.on_configuration(self.registers.configuration());
+        }
+        let permits_changed = self.permits.take_changed();
+        if !registers_changed && !targets_changed && !permits_changed {
             return;
         }
-        let snapshot = self.targets.snapshot(&self.registers, &self.settings.zone);
+        let zone = &self.settings.zone;
+        let snapshot = self.targets.snapshot(&self.registers, &self.permits, zone);
         let metrics = &self.shared.metrics;
         metrics
             .configuration_generation
@@ -269,6 +296,7 @@
             "services": Targets::dump_services(&self.shared.view()),
             "roster": self.roster.dump(),
             "peers": self.peers.dump(),
+            "permits": self.permits.dump(),
         })
     }
 }
--- a/ibiscroft-gateway/src/controllers/targets.rs
+++ b/ibiscroft-gateway/src/controllers/targets.rs
@@ -13,6 +13,7 @@
 use serde_json::{Value, json};
 
 use crate::clock::Clock;
+use crate::controllers::permits::Permits;
 use crate::controllers::registers::Registers;
 use crate::events::event;
 use crate::service_admission::ServiceAdmission;
@@ -74,12 +75,22 @@
     }
 
     /// Makes the view for traffic threads from the registers and the state of targets.
-    pub(crate) fn snapshot(&mut self, registers: &Registers, own_zone: &ZoneName) -> Snapshot {
+    pub(crate) fn snapshot(
+        &mut self,
+        registers: &Registers,
+        permits: &Permits,
+        own_zone: &ZoneName,
+    ) -> Snapshot {
         let cfg = registers.configuration();
         self.forget_unconfigured(cfg);
         let mut services = Vec::with_capacity(cfg.services.len());
         for service in &cfg.services {
-            services.push(Arc::new(self.service_view(service, registers.zones(), own_zone)));
+            services.push(Arc::new(self.service_view(
+                service,
+                registers.zones(),
+                permits,
+                own_zone,
+            )));
         }
         Snapshot { generation: cfg.generation, services }
     }
@@ -108,7 +119,7 @@
             let counts = view.admission.counts();
             services.push(json!({
                 "name": view.service.name,
-                "slots": view.limits.slots,
+                "slots": view.admission.limits().slots,
                 "running": counts.running,
                 "waiting": counts.waiting,
                 "waiting_patient": counts.waiting_patient,
@@ -135,44 +146,52 @@
         &mut self,
         service: &Service,
         zones: &ZoneState,
+        permits: &Permits,
         own_zone: &ZoneName,
     ) -> ServiceView {
         let mut candidates = Vec::with_capacity(service.targets.len());
+        let mut proofs = Vec::with_capacity(service.targets.len());
         for target in &service.targets {
+            let proof = permits.proof(&target.name);
             candidates.push(Candidate {
                 target: target.clone(),
-                eligibility: self.eligibility(target, zones),
+                eligibility: self.eligibility(target, zones, proof.is_some()),
                 load: self.loads.entry(&target.name),
             });
+            proofs.push(proof);
         }
         let budget = self.budgets.entry(service.name.clone());
         let budget = budget.or_insert_with(|| Arc::new(ServiceBudget::new(service.retry_share)));
-        let admission = self.admissions.entry(service.name.clone());
-        let admission = admission.or_insert_with(|| Arc::new(ServiceAdmission::new(self.clock)));
         let pool = Pool::new(own_zone, candidates);
+        let limits = limits(service, &pool);
+        let admission = self.admissions.entry(service.name.clone());
+        let admission =
+            admission.or_insert_with(|| Arc::new(ServiceAdmission::new(self.clock, limits)));
+        admission.set_limits(limits);
         ServiceView {
             service: service.clone(),
-            limits: limits(service, &pool),
             pool,
+            proofs,
             budget: Arc::clone(budget),
             admission: Arc::clone(admission),
         }
     }
 
-    fn eligibility(&self, target: &Target, zones: &ZoneState) -> Eligibility {
+    fn eligibility(&self, target: &Target, zones: &ZoneState, is_warm: bool) -> Eligibility {
         if zones.is_out(&target.zone) {
             return Eligibility::ZoneOut;
         }
         if self.leaving.is_leaving(&target.name) {
             return Eligibility::Leaving;
         }
-        Eligibility::Warm
+        if is_warm { Eligibility::Warm } else { Eligibility::Cold }
     }
 }
 
-/// Returns what the service may send and let wait; a cold target counts as one slot.
+/// Returns what the service may send and let wait; a cold target counts with what it bears.
 fn limits(service: &Service, pool: &Pool) -> Limits {
     let cold = u32::try_from(pool.cold().len()).unwrap_or(u32::MAX);
+    let cold = cold.saturating_mul(service.cold.concurrency.max(1));
     Limits {
         slots: pool.warm_slots().saturating_add(cold),
         queue: service.queue_limit,
--- a/ibiscroft-gateway/src/filters/admit.rs
+++ b/ibiscroft-gateway/src/filters/admit.rs
@@ -44,7 +44,7 @@
         if let Ok(Ok(place)) = tokio::time::timeout(longest, rx).await {
             return Ok(place);
         }
-        ex.service.admission.drain(ex.service.limits);
+        ex.service.admission.drain();
         Err(overloaded(RETRY_AFTER_WAIT))
     }
 }
@@ -55,7 +55,7 @@
         let left = ex.deadline.since(begun);
         let ticket = Ticket { deadline: ex.deadline, patience: patience(left) };
         let wait_until = begun + ex.service.service.queue_wait.min(left);
-        let mut admitted = ex.service.admission.arrive(ex.service.limits, ticket);
+        let mut admitted = ex.service.admission.arrive(ticket);
         loop {
             let waiting_since = self.shared.clock.now();
             let mut place = self.place(ex, admitted).await?;
@@ -70,7 +70,7 @@
             if failure.kind != ErrorKind::Shed || ex.is_at_most_once() {
                 return Err(failure);
             }
-            admitted = ex.service.admission.requeue(ex.service.limits, wait_until);
+            admitted = ex.service.admission.requeue(wait_until);
             if let Admitted::Refused { .. } = admitted {
                 return Err(failure);
             }
