fix(gateway): a cold target that takes too long costs no safe request

Cause: a request offered to a cold target beside warm ones ended with answer-timeout after the 3 s that a permit lets it run, although its caller waited longer and warm targets had room.

Ruled out: leaving services with long deadlines out, whose targets would never get warm; extending permits while a request runs, since the deadline sent with it cannot be extended.

Change: such an end counts as a lost connection, so a safe request is tried elsewhere; the target is passed by for a time; one request in four is offered instead of each.

Seen failing first: a_cold_target_that_takes_too_long_costs_no_safe_request: 504 for 200.

Conclusion: what began to be answered and takes over 3 s is still cut off visibly; resuming it is the matter of whole answers.

--- a/ibiscroft-core/src/permits/controller.rs
+++ b/ibiscroft-core/src/permits/controller.rs
@@ -28,6 +28,10 @@
 }
 
 /// The cold start controller of one gateway.
+///
+/// Each call takes the present instant. The clock must be read after the event was taken from
+/// its queue: a permit counts from the instant of its grant, and a gateway that was paused
+/// between reading the clock and taking the event would count it from too early an instant.
 #[derive(Debug)]
 pub struct Controller {
     roster: Roster,
--- a/ibiscroft-gateway/src/backend_client.rs
+++ b/ibiscroft-gateway/src/backend_client.rs
@@ -104,6 +104,9 @@
 
     /// Sends the request to one target; `deadline` is when its answer must have come.
     ///
+    /// A deadline before that of the request gives up the connection, and time is left to try
+    /// another target.
+    ///
     /// # Errors
     ///
     /// Says whether the request may have run.
@@ -129,7 +132,10 @@
             Ok(Err(error)) => Err(SendError::Unknown(ErrorKind::ConnectionLost, error.to_string())),
             Err(_) => {
                 let detail = format!("no answer within {} ms", left.as_millis());
-                Err(SendError::Unknown(ErrorKind::AnswerTimeout, detail))
+                let is_early = deadline < ex.deadline;
+                let kind =
+                    if is_early { ErrorKind::ConnectionLost } else { ErrorKind::AnswerTimeout };
+                Err(SendError::Unknown(kind, detail))
             }
         }
     }
--- a/ibiscroft-gateway/src/filters/forward.rs
+++ b/ibiscroft-gateway/src/filters/forward.rs
@@ -215,6 +215,7 @@
             }
             Err(error) => {
                 let has_ended = !matches!(error, SendError::Unknown(..));
+                let was_cold = permit.is_some();
                 if let Some(permit) = permit.filter(|_| has_ended) {
                     permit.end_not_run();
                 }
@@ -223,6 +224,9 @@
                     SendError::NotSent(_) => {
                         in_flight.end_unreachable(now, rand::rng().next_u64());
                     }
+                    SendError::Unknown(..) if was_cold => {
+                        in_flight.end_unreachable(now, rand::rng().next_u64());
+                    }
                     SendError::Unknown(..) => {}
                 }
                 Err(error)
--- a/ibiscroft-gateway/src/filters/forward/cold.rs
+++ b/ibiscroft-gateway/src/filters/forward/cold.rs
@@ -25,6 +25,8 @@
 const WARMING: PerSecond = PerSecond(20);
 /// Such requests at once.
 const WARMING_BURST: u32 = 2;
+/// One request of this many may be such a request.
+const WARMING_SHARE: u32 = 4;
 /// Longest time such a request waits for its permit.
 const WARMING_WAIT: Duration = Duration::from_millis(5);
 /// Pause before a request that waits looks at the targets again.
@@ -80,11 +82,12 @@
             return None;
         }
         let now = self.shared.clock.now();
-        if ex.is_at_most_once() || !self.warming.try_take(now) {
+        if ex.is_at_most_once() || !rand::rng().random_ratio(1, WARMING_SHARE) {
             return None;
         }
         let index = cold[rand::rng().random_range(0..cold.len())];
-        if !view.pool.candidate(index).load.is_reachable(now) {
+        let is_reachable = view.pool.candidate(index).load.is_reachable(now);
+        if !is_reachable || !self.warming.try_take(now) {
             return None;
         }
         let permit = self.permit(view, index, now + WARMING_WAIT).await?;
--- a/ibiscroft-gateway/tests/it/cold_start.rs
+++ b/ibiscroft-gateway/tests/it/cold_start.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use ibiscroft_lab::backend::{Backend, BackendOptions, Control};
+use ibiscroft_lab::backend::{AnswerFaults, Backend, BackendOptions, Control};
 use ibiscroft_lab::store::StoreFaults;
 use rand::Rng;
 use tokio::task::JoinHandle;
@@ -186,6 +186,29 @@
     lost_load.end().await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_cold_target_that_takes_too_long_costs_no_safe_request() {
+    let mut fleet = start_cold(2, 2).await;
+    let load = Load::begin(&fleet, 0..2, 4);
+    wait_all_proved(&fleet, "proof at each gateway").await;
+    load.end().await;
+    restart(&mut fleet, 0).await;
+    let faults =
+        AnswerFaults { count: 1_000, first_byte_delay_ms: 4_000, ..AnswerFaults::default() };
+    fleet.backends[0].control(&Control { answer_faults: Some(faults), ..Control::default() });
+    wait_for("a request tries the cold target", async || {
+        let res = fleet.request(reqwest::Method::GET, 0, "/x").send().await.unwrap();
+        assert_eq!(res.status(), reqwest::StatusCode::OK);
+        fleet.backends[0].counters().received > 0
+    })
+    .await;
+    for number in 0..8 {
+        let res = fleet.request(reqwest::Method::GET, 0, "/x").send().await.unwrap();
+        assert_eq!(res.status(), reqwest::StatusCode::OK, "request {number}");
+    }
+    assert_borne(&fleet, "slow cold target");
+}
+
 /// No sign goes before the first answer, so requests already sent are beyond reach.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_target_that_falls_cold_in_its_run_is_spared_after_the_first_sign() {
