--- a/ibiscroft-lab/src/demo/fleet.rs
+++ b/ibiscroft-lab/src/demo/fleet.rs
@@ -79,8 +79,9 @@
         for gateway in &fleet.gateways {
             wait_until_ready(gateway).await?;
         }
-        let addresses: Vec<_> = fleet.gateways.iter().map(|gateway| gateway.addresses).collect();
-        warm_up(&addresses).await?;
+        for gateway in &fleet.gateways {
+            warm_up(gateway.addresses.callers, gateway.addresses.operators, "/").await?;
+        }
         Ok(fleet)
     }
 
