test(lab): a quiet gateway must learn of leaving servers from the platform

Cause: the demo once sent a request to the draining server 3.4 s after its announcement, when little traffic reached it. Ruled out: a slow reaction (with traffic, the last request comes 3 to 53 ms after the announcement); the stand-in's list (it says leaving at once).

--- a/ibiscroft-lab/tests/it/main.rs
+++ b/ibiscroft-lab/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod backend;
 mod cold_start;
 mod experiment;
+mod leaving;
 mod load;
 mod noise;
 mod orders;
