test(gateway): page deletion against a store, a silent backend, two faults at once

Cause: the deletion loop was not tested, and no process test brought two faults about together.

Change: the retirer does one step at a given moment, so that a test can drive it. Orders on a connection that goes silent, and a gateway killed while the store is down.

--- a/ibiscroft-gateway/src/claims.rs
+++ b/ibiscroft-gateway/src/claims.rs
@@ -17,5 +17,5 @@
 pub use guard::{ConfirmedClaim, SentOrder};
 pub use handle::{ClaimsHandle, Decision, OrderRequest};
 pub use metrics::ClaimMetrics;
-pub use retirement::retire_pages;
+pub use retirement::Retirer;
 pub(crate) use retirement::retired_slots;
--- a/ibiscroft-gateway/src/claims/retirement.rs
+++ b/ibiscroft-gateway/src/claims/retirement.rs
@@ -20,34 +20,50 @@
 /// Pause between two deletions, so that they stay a small share of the store's calls.
 const DELETION_PAUSE: Duration = Duration::from_millis(100);
 
-/// Retires and deletes old pages until its runtime ends.
-pub async fn retire_pages(store: StoreClient, limits: ClaimLimits, clock: Clock) {
-    let mut retirement = Retirement::default();
-    loop {
-        let jitter: f64 = rand::random();
-        tokio::time::sleep(INTERVAL.mul_f64(1.0 + jitter)).await;
-        if let Err(error) = retire_once(&store, &limits, clock, &mut retirement).await {
-            log::debug!("claim pages not retired: {error}");
+/// Retires time slots and deletes their pages.
+#[derive(Debug)]
+pub struct Retirer {
+    store: StoreClient,
+    limits: ClaimLimits,
+    retirement: Retirement,
+}
+
+impl Retirer {
+    /// Makes a retirer that has seen nothing yet.
+    #[must_use]
+    pub fn new(store: StoreClient, limits: ClaimLimits) -> Self {
+        Self { store, limits, retirement: Retirement::default() }
+    }
+
+    /// Works until its runtime ends.
+    pub async fn run(mut self, clock: Clock) {
+        loop {
+            let jitter: f64 = rand::random();
+            tokio::time::sleep(INTERVAL.mul_f64(1.0 + jitter)).await;
+            let at = Moment { now: clock.now(), wall: wall_time() };
+            if let Err(error) = self.step(at).await {
+                log::debug!("claim pages not retired: {error}");
+            }
         }
     }
-}
 
-async fn retire_once(
-    store: &StoreClient,
-    limits: &ClaimLimits,
-    clock: Clock,
-    retirement: &mut Retirement,
-) -> Result<(), StoreError> {
-    let (found, version) = read_record(store).await?;
-    let at = Moment { now: clock.now(), wall: wall_time() };
-    let Some(plan) = retirement.plan(found, at, limits) else {
-        return Ok(());
-    };
-    let RetirementPlan { delete, next } = plan;
-    delete_pages(store, limits, delete).await?;
-    let record = RetiredSlotsRecord { through: next.through, deleted: next.deleted };
-    let text = codec::to_json(&record).map_err(|error| StoreError::Refused(error.to_string()))?;
-    store.write(keys::RETIRED_SLOTS, text, version, None).await.map(drop)
+    /// Looks at the record once and does what is due.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first call that failed; a later step starts over.
+    pub async fn step(&mut self, at: Moment) -> Result<(), StoreError> {
+        let (found, version) = read_record(&self.store).await?;
+        let Some(plan) = self.retirement.plan(found, at, &self.limits) else {
+            return Ok(());
+        };
+        let RetirementPlan { delete, next } = plan;
+        delete_pages(&self.store, &self.limits, delete).await?;
+        let record = RetiredSlotsRecord { through: next.through, deleted: next.deleted };
+        let text =
+            codec::to_json(&record).map_err(|error| StoreError::Refused(error.to_string()))?;
+        self.store.write(keys::RETIRED_SLOTS, text, version, None).await.map(drop)
+    }
 }
 
 async fn read_record(
--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -19,7 +19,7 @@
 use tokio::task::LocalSet;
 
 use crate::backend_client::BackendClient;
-use crate::claims::{ClaimsController, retire_pages};
+use crate::claims::{ClaimsController, Retirer};
 use crate::clock::Clock;
 use crate::control::{Control, ControlCommand, ControlInputs};
 use crate::events::event;
@@ -104,7 +104,7 @@
     let metrics = shared.metrics.claims.clone();
     let (controller, claims) = ClaimsController::new(limits, claim_store, shared.clock, metrics);
     tokio::task::spawn_local(controller.run());
-    tokio::task::spawn_local(retire_pages(store.clone(), limits, shared.clock));
+    tokio::task::spawn_local(Retirer::new(store.clone(), limits).run(shared.clock));
 
     let control = Control::new(
         Arc::clone(&shared),
--- a/ibiscroft-gateway/src/filters/claim.rs
+++ b/ibiscroft-gateway/src/filters/claim.rs
@@ -169,7 +169,8 @@
             (ErrorKind::IdempotencyKeyMissing, "the time in the key lies in the future")
         }
         ClaimVerdict::Unavailable => {
-            let detail = "the claim on the key was not confirmed in time";
+            let detail =
+                "this try was not run, as its claim was not confirmed; keep the key for a resend";
             return Failure::new(ErrorKind::ClaimUnavailable, detail).retry_after(RETRY_AFTER);
         }
         ClaimVerdict::Proceed | ClaimVerdict::Replay(_) => {
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod catalogues;
 mod orders;
 mod registers;
+mod retirement;
 mod settings;
 mod support;
 mod whole_path;
--- a/ibiscroft-gateway/tests/it/orders.rs
+++ b/ibiscroft-gateway/tests/it/orders.rs
@@ -242,6 +242,39 @@
     assert_eq!(runs(&fleet, &key), 1);
 }
 
+#[tokio::test]
+async fn an_order_on_a_connection_that_goes_silent_stays_unknown_and_the_next_one_runs() {
+    let fleet = Fleet::start(FleetOptions::new(2, 1)).await;
+    let faults = AnswerFaults { count: 1, silent: true, ..AnswerFaults::default() };
+    let control = Control { answer_faults: Some(faults), ..Control::default() };
+    fleet.backends[0].control(&control);
+    let key = timed_key("silent");
+    let order = fleet.request(Method::POST, 0, "/order").header("idempotency-key", &key);
+    let first = order.header("x-deadline-ms", "300").body("order").send().await.unwrap();
+    expect_problem(first, 504, "answer-timeout", "unknown").await;
+    let again = fleet.order(1, "/order", &key).await;
+    expect_problem(again, 502, "outcome-unknown", "unknown").await;
+    assert!(runs(&fleet, &key) <= 1);
+    assert_eq!(fleet.order(0, "/order", &timed_key("next")).await.status(), 200);
+}
+
+#[tokio::test]
+async fn a_gateway_killed_while_the_store_is_down_doubles_no_order() {
+    let fleet = Fleet::start(FleetOptions::new(2, 1)).await;
+    let key = timed_key("two-at-once");
+    let order = begin_long_order(&fleet, &key).await;
+    fleet.store.set_faults(StoreFaults { down: true, ..StoreFaults::default() });
+    fleet.gateways[0].signal(libc::SIGKILL);
+    order.await.unwrap();
+    let during = fleet.order(1, "/order?work_ms=900", &key).await;
+    expect_problem(during, 503, "claim-unavailable", "not_run").await;
+    fleet.store.set_faults(StoreFaults { lose_answers: 3, ..StoreFaults::default() });
+    tokio::time::sleep(UNKNOWN_GRACE).await;
+    let after = fleet.order(1, "/order?work_ms=900", &key).await;
+    expect_problem(after, 502, "outcome-unknown", "unknown").await;
+    assert_eq!(runs(&fleet, &key), 1);
+}
+
 /// Sends an order that takes long through gateway 0 and waits until it runs.
 async fn begin_long_order(fleet: &Fleet, key: &str) -> tokio::task::JoinHandle<()> {
     let order = fleet
--- /dev/null
+++ b/ibiscroft-gateway/tests/it/retirement.rs
@@ -0,0 +1,62 @@
+//! Deletion of old claim pages in the store.
+
+use std::time::Duration;
+
+use ibiscroft_core::Tick;
+use ibiscroft_core::claims::{ClaimLimits, Moment, PageId, RETIREMENT_NOTICE, UnixMillis};
+use ibiscroft_core::ids::StoreVersion;
+use ibiscroft_gateway::claims::Retirer;
+use ibiscroft_lab::store::{Store, StoreOptions};
+use ibiscroft_platform::StoreClient;
+use ibiscroft_wire::claim_records::claim_page_key;
+use ibiscroft_wire::keys;
+use serde_json::json;
+
+const WALL: UnixMillis = UnixMillis(1_733_270_400_000);
+const PAGE: &str = r#"{"claims":[]}"#;
+
+fn at(since: Duration) -> Moment {
+    Moment { now: Tick::ZERO + since, wall: WALL }
+}
+
+fn key(slot: u64) -> String {
+    claim_page_key(PageId { slot, shard: 1 })
+}
+
+async fn kept(store: &StoreClient, slots: &[u64]) -> Vec<bool> {
+    let mut kept = Vec::new();
+    for slot in slots {
+        kept.push(store.read(&key(*slot)).await.unwrap().is_some());
+    }
+    kept
+}
+
+#[tokio::test]
+async fn pages_are_deleted_a_notice_after_their_announcement() {
+    let running = Store::start(StoreOptions::default()).await.unwrap();
+    let store = StoreClient::new(vec![running.address()], Duration::from_secs(5)).unwrap();
+    let limits = ClaimLimits::for_fleet(18);
+    let last = limits.last_unneeded_slot(WALL);
+    let slots = [last - 2, last - 1, last, last + 1];
+    for slot in slots {
+        store.write(&key(slot), PAGE.to_string(), StoreVersion(0), None).await.unwrap();
+    }
+    let record = json!({ "through": last - 1, "deleted": last - 3 }).to_string();
+    store.write(keys::RETIRED_SLOTS, record, StoreVersion(0), None).await.unwrap();
+    let mut retirer = Retirer::new(store.clone(), limits);
+    let steps = [
+        (Duration::ZERO, [true, true, true, true]),
+        (RETIREMENT_NOTICE - Duration::from_millis(1), [true, true, true, true]),
+        (RETIREMENT_NOTICE, [false, false, true, true]),
+        (RETIREMENT_NOTICE + Duration::from_millis(1), [false, false, true, true]),
+        (RETIREMENT_NOTICE * 3, [false, false, false, true]),
+        (RETIREMENT_NOTICE * 6, [false, false, false, true]),
+    ];
+    for (since, wanted) in steps {
+        retirer.step(at(since)).await.unwrap();
+        assert_eq!(kept(&store, &slots).await, wanted, "after {since:?}");
+    }
+    let record = store.read(keys::RETIRED_SLOTS).await.unwrap().unwrap().value.unwrap();
+    let record: serde_json::Value = serde_json::from_str(&record).unwrap();
+    assert_eq!(record["through"], last);
+}
