--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -19,7 +19,7 @@
 use tokio::task::LocalSet;
 
 use crate::backend_client::BackendClient;
-use crate::claims::ClaimsController;
+use crate::claims::{ClaimsController, retire_pages};
 use crate::clock::Clock;
 use crate::control::{Control, ControlCommand, ControlInputs};
 use crate::events::event;
@@ -28,6 +28,7 @@
 use crate::filters::admit::Admit;
 use crate::filters::claim::Claim;
 use crate::filters::forward::Forward;
+use crate::instance_watch;
 use crate::metrics::Metrics;
 use crate::operator_server::OperatorEndpoint;
 use crate::peer_link;
@@ -105,6 +106,7 @@
     let metrics = shared.metrics.claims.clone();
     let (controller, claims) = ClaimsController::new(limits, claim_store, shared.clock, metrics);
     tokio::task::spawn_local(controller.run());
+    tokio::task::spawn_local(retire_pages(store.clone(), limits, shared.clock));
 
     let control = Control::new(
         Arc::clone(&shared),
@@ -119,6 +121,10 @@
         permits,
         commands,
     }));
+    if let Some(address) = settings.instance_list {
+        let list = StoreClient::new(vec![address], STORE_TIMEOUT)?;
+        tokio::task::spawn_local(instance_watch::watch(list, event_tx.clone()));
+    }
     tokio::task::spawn_local(store_watch::watch(store, Arc::clone(&shared), event_tx.clone()));
     tokio::task::spawn_local(peer_link::listen(peer_listener, Arc::clone(&shared), event_tx));
     let operators =
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -1,6 +1,9 @@
 //! Tests of the gateway.
 
 mod catalogues;
+mod cold_start;
+mod leaving;
+mod operators;
 mod orders;
 mod overload;
 mod registers;
