--- a/ibiscroft-core/tests/it/main.rs
+++ b/ibiscroft-core/tests/it/main.rs
@@ -17,3 +17,4 @@
 mod roster;
 mod selection;
 mod support;
+mod trace;
--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -19,14 +19,16 @@
 use tokio::task::LocalSet;
 
 use crate::backend_client::BackendClient;
-use crate::claims::ClaimsController;
+use crate::claims::{ClaimsController, retire_pages};
 use crate::clock::Clock;
 use crate::control::{Control, ControlCommand, ControlInputs};
 use crate::events::event;
 use crate::filters::Chain;
 use crate::filters::account::Account;
+use crate::filters::admit::Admit;
 use crate::filters::claim::Claim;
 use crate::filters::forward::Forward;
+use crate::instance_watch;
 use crate::metrics::Metrics;
 use crate::operator_server::OperatorEndpoint;
 use crate::peer_link;
@@ -104,6 +106,7 @@
     let metrics = shared.metrics.claims.clone();
     let (controller, claims) = ClaimsController::new(limits, claim_store, shared.clock, metrics);
     tokio::task::spawn_local(controller.run());
+    tokio::task::spawn_local(retire_pages(store.clone(), limits, shared.clock));
 
     let control = Control::new(
         Arc::clone(&shared),
@@ -118,6 +121,10 @@
         permits,
         commands,
     }));
+    if let Some(address) = settings.instance_list {
+        let list = StoreClient::new(vec![address], STORE_TIMEOUT)?;
+        tokio::task::spawn_local(instance_watch::watch(list, event_tx.clone()));
+    }
     tokio::task::spawn_local(store_watch::watch(store, Arc::clone(&shared), event_tx.clone()));
     tokio::task::spawn_local(peer_link::listen(peer_listener, Arc::clone(&shared), event_tx));
     let operators =
@@ -128,7 +135,8 @@
 
     let forward = Forward::new(Arc::clone(&shared), BackendClient::new()?);
     let claim = Chain::new(Claim::new(claims.clone(), &limits), forward);
-    let chain = Chain::new(Account::new(Arc::clone(&shared)), claim);
+    let admit = Chain::new(Admit::new(Arc::clone(&shared)), claim);
+    let chain = Chain::new(Account::new(Arc::clone(&shared)), admit);
     let connections = Arc::new(Connections::default());
     let acceptor = ConnectionAcceptor::new(caller_listener, Arc::clone(&connections))?;
     let callers =
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -2,7 +2,10 @@
 
 mod catalogues;
 mod cold_start;
+mod leaving;
+mod operators;
 mod orders;
+mod overload;
 mod registers;
 mod settings;
 mod support;
