--- a/ibiscroft-core/src/admission/concurrency.rs
+++ b/ibiscroft-core/src/admission/concurrency.rs
@@ -5,7 +5,7 @@
 /// Requests that may always be sent at once.
 const MIN_LIMIT: f64 = 1.0;
 /// Share of the limit kept after a sign of overload.
-const DECREASE: f64 = 0.75;
+const DECREASE: f64 = 0.85;
 /// Requests that the limit rises by for each full round of answers.
 const INCREASE: f64 = 1.0;
 
@@ -30,20 +30,22 @@
     }
 
     /// Adjusts the limit after a request that ended while `in_flight` were sent.
+    ///
+    /// Slots that are gone for a while do not lower what was learned.
     pub(super) fn adjust(&mut self, slots: u32, in_flight: u32, outcome: Outcome) {
-        self.limit = self.limit.min(f64::from(slots)).max(MIN_LIMIT);
-        let is_in_use = in_flight >= self.limit as u32;
-        if self.hold > 0 {
-            self.hold -= 1;
-        }
+        let slots = f64::from(slots);
+        let effective = self.limit.min(slots).max(MIN_LIMIT);
+        let is_in_use = in_flight >= effective as u32;
+        self.hold = self.hold.saturating_sub(1);
         match outcome {
-            Outcome::Answered if is_in_use => self.limit += INCREASE / self.limit,
+            Outcome::Answered if is_in_use && self.limit < slots => {
+                self.limit = (self.limit + INCREASE / self.limit).min(slots);
+            }
             Outcome::Shed | Outcome::Congested | Outcome::TimedOut if self.hold == 0 => {
-                self.limit = (self.limit * DECREASE).max(MIN_LIMIT);
+                self.limit = (effective * DECREASE).max(MIN_LIMIT);
                 self.hold = in_flight;
             }
             _ => {}
         }
-        self.limit = self.limit.min(f64::from(slots)).max(MIN_LIMIT);
     }
 }
--- a/ibiscroft-core/tests/it/admission.rs
+++ b/ibiscroft-core/tests/it/admission.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::admission::{Admission, Arrival, Limits, Next, Outcome, Patience, Ticket};
+use ibiscroft_core::admission::{
+    Admission, Arrival, Ended, Limits, Next, Outcome, Patience, Ticket,
+};
 use proptest::prelude::*;
 
 use crate::support::{at, fuzz, ms};
@@ -22,6 +24,27 @@
     Ticket { deadline: at(deadline), patience: Patience::Patient }
 }
 
+fn ended(patience: Patience, outcome: Outcome, started: Tick) -> Ended {
+    Ended { started, patience, outcome }
+}
+
+#[test]
+fn requests_one_at_a_time_do_not_hide_the_capacity() {
+    let limits = Limits { slots: 60, queue: 120, ..LIMITS };
+    let mut admission = Admission::new();
+    for round in 0..50 {
+        let now = at(round * 1_000);
+        assert_eq!(admission.arrive(&limits, now, interactive(999_999), ()), Arrival::Run(()));
+        let outcome = ended(Patience::Interactive, Outcome::Answered, now);
+        admission.release(&limits, now + ms(50), &outcome);
+    }
+    let now = at(60_000);
+    let arrivals: Vec<_> =
+        (0..100).map(|_| admission.arrive(&limits, now, interactive(999_999), ())).collect();
+    assert_eq!(arrivals.iter().filter(|arrival| **arrival == Arrival::Run(())).count(), 60);
+    assert_eq!(arrivals.iter().filter(|arrival| **arrival == Arrival::Waits).count(), 40);
+}
+
 #[test]
 fn patient_requests_wait_for_room_that_nobody_needs() {
     let mut admission = Admission::new();
@@ -30,10 +53,10 @@
     assert_eq!(admission.arrive(&LIMITS, at(0), patient(hours), "p2"), Arrival::Waits);
     assert_eq!(admission.arrive(&LIMITS, at(0), interactive(500), "i1"), Arrival::Run("i1"));
     assert_eq!(admission.arrive(&LIMITS, at(0), interactive(500), "i2"), Arrival::Waits);
-    admission.release(&LIMITS, at(5), Patience::Patient, Outcome::Answered);
+    admission.release(&LIMITS, at(5), &ended(Patience::Patient, Outcome::Answered, at(0)));
     assert_eq!(admission.next(&LIMITS, at(5)), Next::Run("i2"));
     assert_eq!(admission.next(&LIMITS, at(5)), Next::None);
-    admission.release(&LIMITS, at(10), Patience::Interactive, Outcome::Answered);
+    admission.release(&LIMITS, at(10), &ended(Patience::Interactive, Outcome::Answered, at(0)));
     assert_eq!(admission.next(&LIMITS, at(hours - 1)), Next::Run("p2"));
 }
 
@@ -48,7 +71,11 @@
             Arrival::Run(index)
         );
         now += 20;
-        admission.release(&limits, at(now), Patience::Interactive, Outcome::Answered);
+        admission.release(
+            &limits,
+            at(now),
+            &ended(Patience::Interactive, Outcome::Answered, at(now - 20)),
+        );
     }
     assert_eq!(admission.arrive(&limits, at(now), interactive(9_999), 20), Arrival::Run(20));
     let short = admission.arrive(&limits, at(now), interactive(now + 10), 21);
@@ -65,7 +92,7 @@
     let mut admission = Admission::new();
     assert_eq!(admission.arrive(&limits, at(0), interactive(500), 1), Arrival::Run(1));
     assert_eq!(admission.arrive(&limits, at(0), interactive(500), 2), Arrival::Waits);
-    admission.release(&limits, at(1), Patience::Interactive, Outcome::Answered);
+    admission.release(&limits, at(1), &ended(Patience::Interactive, Outcome::Answered, at(0)));
     assert_eq!(admission.arrive(&limits, at(1), interactive(500), 3), Arrival::Waits);
     assert_eq!(admission.next(&limits, at(1)), Next::Run(2));
     assert_eq!(admission.next(&limits, at(1)), Next::None);
@@ -77,11 +104,11 @@
     let mut admission = Admission::new();
     assert_eq!(admission.arrive(&limits, at(0), interactive(500), 1), Arrival::Run(1));
     assert_eq!(admission.arrive(&limits, at(0), interactive(500), 2), Arrival::Waits);
-    admission.release(&limits, at(4), Patience::Interactive, Outcome::Shed);
-    assert_eq!(admission.requeue(at(4), at(100), 1), Arrival::Waits);
+    admission.release(&limits, at(4), &ended(Patience::Interactive, Outcome::Shed, at(0)));
+    assert_eq!(admission.requeue(&limits, at(4), at(100), 1), Arrival::Waits);
     assert_eq!(admission.next(&limits, at(4)), Next::Run(1));
-    admission.release(&limits, at(100), Patience::Interactive, Outcome::Shed);
-    let late = admission.requeue(at(100), at(100), 1);
+    admission.release(&limits, at(100), &ended(Patience::Interactive, Outcome::Shed, at(0)));
+    let late = admission.requeue(&limits, at(100), at(100), 1);
     assert!(matches!(late, Arrival::Refused { waiter: 1, .. }), "{late:?}");
 }
 
@@ -104,12 +131,25 @@
         for _ in 0..200 {
             let arrived = admission.arrive(&limits, at(0), interactive(500), ());
             assert_eq!(arrived, Arrival::Run(()));
-            admission.release(&limits, at(0), Patience::Interactive, case.outcome);
+            admission.release(&limits, at(0), &ended(Patience::Interactive, case.outcome, at(0)));
         }
         assert_eq!(admission.concurrency(&limits), case.expected, "{:?}", case.outcome);
     }
 }
 
+#[test]
+fn slots_that_are_gone_for_a_while_do_not_lower_the_concurrency() {
+    let all = Limits { slots: 60, ..LIMITS };
+    let few = Limits { slots: 1, ..LIMITS };
+    let mut admission = Admission::new();
+    for limits in [&all, &few] {
+        assert_eq!(admission.arrive(limits, at(0), interactive(500), ()), Arrival::Run(()));
+        admission.release(limits, at(1), &ended(Patience::Interactive, Outcome::Answered, at(0)));
+    }
+    assert_eq!(admission.concurrency(&few), 1);
+    assert_eq!(admission.concurrency(&all), 60);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Arrive { patience: Patience, wait: u64 },
@@ -134,7 +174,7 @@
 /// Where each request is, kept apart from the code under test.
 #[derive(Debug, Default)]
 struct Oracle {
-    running: Vec<Patience>,
+    running: Vec<(Patience, Tick)>,
     waiting: BTreeMap<usize, (Ticket, Tick)>,
 }
 
@@ -143,14 +183,14 @@
         self.waiting.values().filter(|(ticket, _)| ticket.patience == patience).count()
     }
 
-    fn start(&mut self, id: usize) {
+    fn start(&mut self, id: usize, now: Tick) {
         let (ticket, _) = self.waiting.remove(&id).expect("a request runs once");
         let is_passed = self
             .waiting
             .iter()
             .any(|(other, (waiting, _))| *other < id && waiting.patience == ticket.patience);
         assert!(!is_passed, "requests start in the order of arrival");
-        self.running.push(ticket.patience);
+        self.running.push((ticket.patience, now));
     }
 
     fn expire(&mut self, id: usize, now: Tick) {
@@ -173,7 +213,7 @@
                 Step::Arrive { patience, wait } => {
                     let ticket = Ticket { deadline: now + ms(wait), patience };
                     match admission.arrive(&LIMITS, now, ticket, id) {
-                        Arrival::Run(_) => oracle.running.push(patience),
+                        Arrival::Run(_) => oracle.running.push((patience, now)),
                         Arrival::Waits => {
                             oracle.waiting.insert(id, (ticket, now));
                         }
@@ -181,15 +221,15 @@
                     }
                 }
                 Step::Release { outcome } => {
-                    if let Some(patience) = oracle.running.pop() {
-                        admission.release(&LIMITS, now, patience, outcome);
+                    if let Some((patience, started)) = oracle.running.pop() {
+                        admission.release(&LIMITS, now, &Ended { started, patience, outcome });
                     }
                 }
                 Step::Advance { millis } => now = now + ms(millis),
             }
             loop {
                 match admission.next(&LIMITS, now) {
-                    Next::Run(id) => oracle.start(id),
+                    Next::Run(id) => oracle.start(id, now),
                     Next::Expired(id) => oracle.expire(id, now),
                     Next::None => break,
                 }
--- a/ibiscroft-gateway/src/service_admission.rs
+++ b/ibiscroft-gateway/src/service_admission.rs
@@ -4,8 +4,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use ibiscroft_core::Tick;
-use ibiscroft_core::admission::{Admission, Arrival, Limits, Next, Outcome, Patience, Ticket};
+use ibiscroft_core::admission::{
+    Admission, Arrival, Ended, Limits, Next, Outcome, Patience, Ticket,
+};
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
@@ -40,6 +43,8 @@
 #[derive(Debug)]
 pub(crate) struct ServiceAdmission {
     clock: Clock,
+    /// What control granted last.
+    limits: ArcSwap<Limits>,
     admission: Mutex<Admission<Waiter>>,
     running: AtomicU32,
     waiting: AtomicUsize,
@@ -62,9 +67,10 @@
 
 impl ServiceAdmission {
     /// Makes an admission without requests.
-    pub(crate) fn new(clock: Clock) -> Self {
+    pub(crate) fn new(clock: Clock, limits: Limits) -> Self {
         Self {
             clock,
+            limits: ArcSwap::from_pointee(limits),
             admission: Mutex::new(Admission::new()),
             running: AtomicU32::new(0),
             waiting: AtomicUsize::new(0),
@@ -73,6 +79,16 @@
         }
     }
 
+    /// Sets what the service may send and let wait from now on.
+    pub(crate) fn set_limits(&self, limits: Limits) {
+        self.limits.store(Arc::new(limits));
+    }
+
+    /// Returns what the service may send and let wait.
+    pub(crate) fn limits(&self) -> Limits {
+        **self.limits.load()
+    }
+
     /// Returns the counts that traffic threads left when they last changed them.
     pub(crate) fn counts(&self) -> Counts {
         Counts {
@@ -84,33 +100,33 @@
     }
 
     /// Asks for a place.
-    pub(crate) fn arrive(self: &Arc<Self>, limits: Limits, ticket: Ticket) -> Admitted {
+    pub(crate) fn arrive(self: &Arc<Self>, ticket: Ticket) -> Admitted {
         let (tx, rx) = oneshot::channel();
         let waiter = Waiter { tx, patience: ticket.patience };
         let now = self.clock.now();
-        let arrival = self.change(&limits, |adm| adm.arrive(&limits, now, ticket, waiter));
-        self.admitted(&arrival, rx, limits, ticket.patience)
+        let arrival = self.change(|adm, limits| adm.arrive(limits, now, ticket, waiter));
+        self.admitted(&arrival, rx, ticket.patience)
     }
 
     /// Asks for a place again after each target refused; the wait ends at `until`.
-    pub(crate) fn requeue(self: &Arc<Self>, limits: Limits, until: Tick) -> Admitted {
+    pub(crate) fn requeue(self: &Arc<Self>, until: Tick) -> Admitted {
         let (tx, rx) = oneshot::channel();
         let waiter = Waiter { tx, patience: Patience::Interactive };
         let now = self.clock.now();
-        let arrival = self.change(&limits, |adm| adm.requeue(now, until, waiter));
-        self.drain(limits);
-        self.admitted(&arrival, rx, limits, Patience::Interactive)
+        let arrival = self.change(|adm, limits| adm.requeue(limits, now, until, waiter));
+        self.drain();
+        self.admitted(&arrival, rx, Patience::Interactive)
     }
 
     /// Gives free places to waiting requests, and ends the waits that are over.
-    pub(crate) fn drain(self: &Arc<Self>, limits: Limits) {
+    pub(crate) fn drain(self: &Arc<Self>) {
         loop {
             let now = self.clock.now();
-            let next = self.change(&limits, |adm| adm.next(&limits, now));
+            let next = self.change(|adm, limits| adm.next(limits, now));
             match next {
                 Next::Run(waiter) => {
                     // A waiter that is gone gives its place back when it is dropped here.
-                    drop(waiter.tx.send(self.place(limits, waiter.patience)));
+                    drop(waiter.tx.send(self.place(waiter.patience)));
                 }
                 Next::Expired(waiter) => drop(waiter),
                 Next::None => return,
@@ -122,28 +138,31 @@
         self: &Arc<Self>,
         arrival: &Arrival<Waiter>,
         rx: PlaceReceiver,
-        limits: Limits,
         patience: Patience,
     ) -> Admitted {
         match arrival {
-            Arrival::Run(_) => Admitted::Now(self.place(limits, patience)),
+            Arrival::Run(_) => Admitted::Now(self.place(patience)),
             Arrival::Waits => Admitted::Later(rx),
             Arrival::Refused { retry_after, .. } => Admitted::Refused { retry_after: *retry_after },
         }
     }
 
-    fn place(self: &Arc<Self>, limits: Limits, patience: Patience) -> Place {
-        Place { admission: Arc::clone(self), limits, patience, outcome: Outcome::Failed }
+    fn place(self: &Arc<Self>, patience: Patience) -> Place {
+        Place {
+            admission: Arc::clone(self),
+            ended: Ended { started: self.clock.now(), patience, outcome: Outcome::Failed },
+        }
     }
 
     /// Changes the state and leaves the counts for control, which never takes the lock.
-    fn change<T>(&self, limits: &Limits, change: impl FnOnce(&mut Admission<Waiter>) -> T) -> T {
+    fn change<T>(&self, change: impl FnOnce(&mut Admission<Waiter>, &Limits) -> T) -> T {
+        let limits = self.limits.load();
         let mut admission = self.admission.lock().unwrap_or_else(PoisonError::into_inner);
-        let result = change(&mut admission);
+        let result = change(&mut admission, &limits);
         self.running.store(admission.running(), Ordering::Relaxed);
         self.waiting.store(admission.waiting(), Ordering::Relaxed);
         self.waiting_patient.store(admission.waiting_patient(), Ordering::Relaxed);
-        self.concurrency.store(admission.concurrency(limits), Ordering::Relaxed);
+        self.concurrency.store(admission.concurrency(&limits), Ordering::Relaxed);
         result
     }
 }
@@ -152,23 +171,20 @@
 #[derive(Debug)]
 pub(crate) struct Place {
     admission: Arc<ServiceAdmission>,
-    limits: Limits,
-    patience: Patience,
-    outcome: Outcome,
+    ended: Ended,
 }
 
 impl Place {
     /// Sets how the request ended.
     pub(crate) fn set_outcome(&mut self, outcome: Outcome) {
-        self.outcome = outcome;
+        self.ended.outcome = outcome;
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
         let now = self.admission.clock.now();
-        let Self { limits, patience, outcome, .. } = *self;
-        self.admission.change(&limits, |adm| adm.release(&limits, now, patience, outcome));
-        self.admission.drain(self.limits);
+        self.admission.change(|adm, limits| adm.release(limits, now, &self.ended));
+        self.admission.drain();
     }
 }
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod orders;
 mod overload;
 mod registers;
+mod retirement;
 mod settings;
 mod support;
 mod whole_path;
