--- a/ibiscroft-gateway/tests/it/orders.rs
+++ b/ibiscroft-gateway/tests/it/orders.rs
@@ -187,11 +187,15 @@
     const ANSWER: &[u8] = b"HTTP/1.1 504 Late\r\nx-execution: unknown\r\ncontent-length: 0\r\n\r\n";
     loop {
         let (mut connection, _) = listener.accept().await.unwrap();
-        let mut buf = [0; 4096];
-        if connection.read(&mut buf).await.unwrap_or(0) > 0 {
-            received.fetch_add(1, Ordering::Relaxed);
-            let _ = connection.write_all(ANSWER).await;
-        }
+        let received = Arc::clone(&received);
+        // Gateways keep an idle connection beside those that carry requests.
+        tokio::spawn(async move {
+            let mut buf = [0; 4096];
+            if connection.read(&mut buf).await.unwrap_or(0) > 0 {
+                received.fetch_add(1, Ordering::Relaxed);
+                let _ = connection.write_all(ANSWER).await;
+            }
+        });
     }
 }
 
