--- a/ibiscroft-gateway/tests/it/orders.rs
+++ b/ibiscroft-gateway/tests/it/orders.rs
@@ -188,6 +188,7 @@
     loop {
         let (mut connection, _) = listener.accept().await.unwrap();
         let received = Arc::clone(&received);
+        // Gateways keep an idle connection beside those that carry requests.
         tokio::spawn(async move {
             let mut buf = [0; 4096];
             if connection.read(&mut buf).await.unwrap_or(0) > 0 {
