feat(gateway): a gateway that starts during an outage asks its peers

The roster is in the store, so a gateway that started while the store was down knew nobody and stayed without a configuration.

Change: setting `peers` names some other gateways; they are dialled until the store shows the roster, and their registers are taken. Without store and peers a gateway stays not ready.

Ruled out: the platform's instance list (it does not tell gateways from backend servers, and a dial to a backend server would be new work there).

Seen: the process test has a gateway without `peers` beside it, which stays not ready (503).

--- a/ibiscroft-gateway/src/control.rs
+++ b/ibiscroft-gateway/src/control.rs
@@ -139,6 +139,7 @@
 
     /// Works until all inputs are closed.
     pub(crate) async fn run(mut self, mut inputs: ControlInputs) {
+        self.peers.dial_seeds(&self.settings.peers);
         let mut timer = tokio::time::interval(TICK);
         timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
         loop {
@@ -203,6 +204,7 @@
         match peer {
             PeerEvent::Up { instance, link } => {
                 self.peers.on_up(instance.clone(), link);
+                self.use_connected_as_roster();
                 for (target, run) in self.targets.draining() {
                     self.peers.send(&instance, &target_leaving(target, run));
                 }
@@ -212,6 +214,13 @@
         }
     }
 
+    /// Exchanges registers with whoever is connected while the store has not shown the roster.
+    fn use_connected_as_roster(&mut self) {
+        if self.roster.members().is_empty() {
+            self.registers.set_roster(self.peers.connected());
+        }
+    }
+
     fn on_message(&mut self, from: &InstanceName, message: PeerMessage) {
         if self.registers.on_message(from, &message, &mut self.peers) {
             return;
--- a/ibiscroft-gateway/src/controllers/peers.rs
+++ b/ibiscroft-gateway/src/controllers/peers.rs
@@ -49,6 +49,7 @@
     events: mpsc::UnboundedSender<ControlEvent>,
     links: HashMap<InstanceName, Link>,
     dialers: HashMap<InstanceName, (SocketAddr, tokio::task::JoinHandle<()>)>,
+    seed_dialers: Vec<tokio::task::JoinHandle<()>>,
 }
 
 impl Peers {
@@ -58,11 +59,41 @@
         own_name: InstanceName,
         events: mpsc::UnboundedSender<ControlEvent>,
     ) -> Self {
-        Self { shared, own_name, events, links: HashMap::new(), dialers: HashMap::new() }
+        Self {
+            shared,
+            own_name,
+            events,
+            links: HashMap::new(),
+            dialers: HashMap::new(),
+            seed_dialers: Vec::new(),
+        }
+    }
+
+    /// Dials gateways of which only the address is known, until the roster is.
+    pub(crate) fn dial_seeds(&mut self, seeds: &[SocketAddr]) {
+        for address in seeds {
+            let dial = peer_link::dial(
+                InstanceName::new(address.to_string()),
+                *address,
+                Arc::clone(&self.shared),
+                self.events.clone(),
+            );
+            self.seed_dialers.push(tokio::task::spawn_local(dial));
+        }
+    }
+
+    /// Returns the names of the connected gateways.
+    pub(crate) fn connected(&self) -> Vec<InstanceName> {
+        self.links.keys().cloned().collect()
     }
 
     /// Dials the instances that this one is to dial: those with a greater name.
     pub(crate) fn set_roster(&mut self, members: BTreeMap<InstanceName, SocketAddr>) {
+        if !members.is_empty() {
+            for dialer in self.seed_dialers.drain(..) {
+                dialer.abort();
+            }
+        }
         let own_name = &self.own_name;
         self.dialers.retain(|name, (address, task)| {
             let wanted = members.get(name) == Some(address);
--- a/ibiscroft-gateway/src/settings.rs
+++ b/ibiscroft-gateway/src/settings.rs
@@ -31,6 +31,8 @@
     pub store: Vec<SocketAddr>,
     /// Address of the platform's list of instances.
     pub instance_list: Option<SocketAddr>,
+    /// Other gateways to ask while the store has not shown the roster.
+    pub peers: Vec<SocketAddr>,
     /// Threads for traffic.
     pub traffic_threads: usize,
     /// Time between not ready and the end of accepting.
@@ -67,12 +69,8 @@
             caller_listen: address(&found.caller_listen, "/caller_listen", &mut faults),
             operator_listen: address(&found.operator_listen, "/operator_listen", &mut faults),
             peer_listen: address(&found.peer_listen, "/peer_listen", &mut faults),
-            store: found
-                .store
-                .iter()
-                .enumerate()
-                .map(|(index, text)| address(text, &format!("/store/{index}"), &mut faults))
-                .collect(),
+            store: addresses(&found.store, "/store", &mut faults),
+            peers: addresses(&found.peers, "/peers", &mut faults),
             instance_list: found
                 .instance_list
                 .as_deref()
@@ -87,6 +85,14 @@
     }
 }
 
+fn addresses(texts: &[String], path: &str, faults: &mut Vec<Fault>) -> Vec<SocketAddr> {
+    texts
+        .iter()
+        .enumerate()
+        .map(|(index, text)| address(text, &format!("{path}/{index}"), faults))
+        .collect()
+}
+
 fn address(text: &str, path: &str, faults: &mut Vec<Fault>) -> SocketAddr {
     text.parse().unwrap_or_else(|_| {
         faults.push(Fault::new(path, format!("{text:?} is not an IP address with a port")));
--- a/ibiscroft-gateway/tests/it/registers.rs
+++ b/ibiscroft-gateway/tests/it/registers.rs
@@ -10,7 +10,9 @@
 use reqwest::{Method, StatusCode};
 use tokio::task::JoinHandle;
 
-use crate::support::{Fleet, FleetOptions, PATIENCE, answers, put_configuration, wait_for};
+use crate::support::{
+    Fleet, FleetOptions, Gateway, PATIENCE, answers, put_configuration, wait_for,
+};
 
 /// Longest time until an accepted change is in force everywhere.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(3);
@@ -143,6 +145,23 @@
     assert_eq!(fleet.dump(0).await["freshness"]["standing"], "isolated");
 }
 
+#[tokio::test]
+async fn a_gateway_that_starts_during_an_outage_asks_its_peers() {
+    let mut fleet = Fleet::start(FleetOptions::new(2, 3)).await;
+    put_zones(&fleet, 1, &["a"]).await;
+    wait_zones(&fleet, 0, 1).await;
+    set_store_down(&fleet, true);
+    let peers: Vec<_> = fleet.gateways.iter().map(|gateway| gateway.peers).collect();
+    let lonely = Gateway::start(2, fleet.store.address());
+    fleet.gateways.push(Gateway::start_with_peers(3, fleet.store.address(), &peers));
+    fleet.wait_ready(&fleet.gateways[2]).await;
+    let dump = fleet.dump(2).await;
+    assert_eq!(dump["zones"]["out"], serde_json::json!(["a"]));
+    assert_eq!(dump["configuration"]["generation"], 1);
+    let ready = fleet.http.get(format!("http://{}/readyz", lonely.operators)).send().await;
+    assert_eq!(ready.unwrap().status(), 503, "no peers and no store");
+}
+
 #[tokio::test]
 async fn records_handed_over_by_an_operator_spread() {
     let fleet = Fleet::start(FleetOptions::new(GATEWAYS, 3)).await;
--- a/ibiscroft-gateway/tests/it/support.rs
+++ b/ibiscroft-gateway/tests/it/support.rs
@@ -193,11 +193,18 @@
     pub(crate) callers: SocketAddr,
     /// Where operators connect.
     pub(crate) operators: SocketAddr,
+    /// Where other gateways connect.
+    pub(crate) peers: SocketAddr,
 }
 
 impl Gateway {
     /// Starts the gateway `gw-INDEX`.
     pub(crate) fn start(index: usize, store: SocketAddr) -> Self {
+        Self::start_with_peers(index, store, &[])
+    }
+
+    /// Starts the gateway `gw-INDEX` with the addresses of some other gateways.
+    pub(crate) fn start_with_peers(index: usize, store: SocketAddr, peers: &[SocketAddr]) -> Self {
         let any_port = "127.0.0.1:0";
         let settings = json!({
             "instance": format!("gw-{index}"),
@@ -206,6 +213,7 @@
             "operator_listen": any_port,
             "peer_listen": any_port,
             "store": [store],
+            "peers": peers,
             "drain_notice_ms": 100,
         });
         let name = format!("ibiscroft-{}-{}-gw-{index}.json", std::process::id(), store.port());
@@ -223,7 +231,12 @@
         let _ = std::fs::remove_file(&path);
         let announced: Value = serde_json::from_str(&line).unwrap();
         let address = |field: &str| announced[field].as_str().unwrap().parse().unwrap();
-        Self { callers: address("callers"), operators: address("operators"), child }
+        Self {
+            callers: address("callers"),
+            operators: address("operators"),
+            peers: address("peers"),
+            child,
+        }
     }
 
     /// Sends a signal to the process, as `libc::SIGTERM`.
--- a/ibiscroft-lab/src/demo/fleet.rs
+++ b/ibiscroft-lab/src/demo/fleet.rs
@@ -198,6 +198,7 @@
 ) -> Result<GatewayProcess> {
     let name = format!("gateway-{number}");
     let settings = GatewaySettings {
+        peers: Vec::new(),
         instance: name.clone(),
         availability_zone: ZONES[(number - 1) % ZONES.len()].to_string(),
         caller_listen: ANY_PORT.to_string(),
