--- a/ibiscroft-gateway/tests/it/registers.rs
+++ b/ibiscroft-gateway/tests/it/registers.rs
@@ -18,6 +18,8 @@
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(3);
 /// Gateways of a fleet.
 const GATEWAYS: usize = 3;
+/// Gateways of today's largest fleet.
+const LARGE_FLEET: usize = 18;
 /// Requests through each gateway to see where work goes.
 const PROBES: usize = 30;
 /// Requests at once, few enough for the slots of two backend servers.
@@ -76,7 +78,7 @@
 
 #[tokio::test]
 async fn a_paused_gateway_learns_a_departure_from_its_peers_before_it_sends() {
-    let fleet = Fleet::start(FleetOptions::new(GATEWAYS, 3)).await;
+    let fleet = Fleet::start(FleetOptions::new(LARGE_FLEET, 3)).await;
     for read in send_at_once(&fleet, IN_ZONE_A).await {
         assert_eq!(read.await.unwrap(), 200);
     }
@@ -93,7 +95,7 @@
     for read in waiting {
         assert_eq!(read.await.unwrap(), 200);
     }
-    send_reads(&fleet, &[0, 1, 2]).await;
+    send_reads(&fleet, &(0..LARGE_FLEET).collect::<Vec<_>>()).await;
     assert_eq!(received(&fleet, IN_ZONE_A), before);
     assert_eq!(fleet.dump(IN_ZONE_A).await["zones"]["generation"], 1);
 }
