--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -19,12 +19,13 @@
 use tokio::task::LocalSet;
 
 use crate::backend_client::BackendClient;
-use crate::claims::ClaimsController;
+use crate::claims::{ClaimsController, retire_pages};
 use crate::clock::Clock;
 use crate::control::{Control, ControlCommand, ControlInputs};
 use crate::events::event;
 use crate::filters::Chain;
 use crate::filters::account::Account;
+use crate::filters::admit::Admit;
 use crate::filters::claim::Claim;
 use crate::filters::forward::Forward;
 use crate::instance_watch;
@@ -105,6 +106,7 @@
     let metrics = shared.metrics.claims.clone();
     let (controller, claims) = ClaimsController::new(limits, claim_store, shared.clock, metrics);
     tokio::task::spawn_local(controller.run());
+    tokio::task::spawn_local(retire_pages(store.clone(), limits, shared.clock));
 
     let control = Control::new(
         Arc::clone(&shared),
@@ -133,7 +135,8 @@
 
     let forward = Forward::new(Arc::clone(&shared), BackendClient::new()?);
     let claim = Chain::new(Claim::new(claims.clone(), &limits), forward);
-    let chain = Chain::new(Account::new(Arc::clone(&shared)), claim);
+    let admit = Chain::new(Admit::new(Arc::clone(&shared)), claim);
+    let chain = Chain::new(Account::new(Arc::clone(&shared)), admit);
     let connections = Arc::new(Connections::default());
     let acceptor = ConnectionAcceptor::new(caller_listener, Arc::clone(&connections))?;
     let callers =
--- a/ibiscroft-gateway/src/lib.rs
+++ b/ibiscroft-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod permits;
 mod problem;
 mod server;
+mod service_admission;
 mod shared;
 mod snapshot;
 mod store_watch;
--- a/ibiscroft-gateway/src/snapshot.rs
+++ b/ibiscroft-gateway/src/snapshot.rs
@@ -7,6 +7,7 @@
 use ibiscroft_core::ids::{Generation, RunId, ServiceName};
 use ibiscroft_core::selection::Pool;
 
+use crate::service_admission::ServiceAdmission;
 use crate::tripwire::Tripwire;
 
 /// What the control thread last published.
@@ -29,6 +30,8 @@
     pub(crate) proofs: Vec<Option<WarmProof>>,
     /// Retries of the service at this gateway, shared with earlier and later views.
     pub(crate) budget: Arc<ServiceBudget>,
+    /// Requests that are sent or wait, shared with earlier and later views.
+    pub(crate) admission: Arc<ServiceAdmission>,
 }
 
 /// Proof that a run of a target is warm.
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -1,9 +1,11 @@
 //! Tests of the gateway.
 
 mod catalogues;
+mod cold_start;
 mod leaving;
 mod operators;
 mod orders;
+mod overload;
 mod registers;
 mod settings;
 mod support;
--- a/ibiscroft-gateway/tests/it/orders.rs
+++ b/ibiscroft-gateway/tests/it/orders.rs
@@ -2,14 +2,18 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use ibiscroft_lab::backend::{AnswerFaults, Control};
 use ibiscroft_lab::store::StoreFaults;
 use reqwest::{Method, Response};
 use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
-use crate::support::{Fleet, FleetOptions, timed_key, wait_for};
+use crate::support::{Fleet, FleetOptions, answers, put_configuration, timed_key, wait_for};
 
 /// Time after an order's deadline at which its claim counts as unknown.
 const UNKNOWN_GRACE: Duration = Duration::from_secs(5);
@@ -162,6 +166,59 @@
     assert_eq!(runs(&fleet, &key), 1);
 }
 
+#[tokio::test]
+async fn an_order_past_its_deadline_stays_unknown() {
+    let fleet = Fleet::start(FleetOptions::new(2, 1)).await;
+    for round in 0..5 {
+        let key = timed_key(&format!("late-{round}"));
+        let path = "/order?work_ms=3000";
+        let order = fleet.request(Method::POST, 0, path).header("idempotency-key", &key);
+        let first = order.header("x-deadline-ms", "100").body("order").send().await.unwrap();
+        assert_eq!(first.status(), 504, "round {round}");
+        assert_eq!(first.headers()["x-execution"], "unknown", "round {round}");
+        let again = fleet.order(1, path, &key).await;
+        expect_problem(again, 502, "outcome-unknown", "unknown").await;
+        assert_eq!(runs(&fleet, &key), 1, "round {round}");
+    }
+}
+
+/// Answers each connection's request with an outcome that is unknown, and counts them.
+async fn answer_unknown(listener: TcpListener, received: Arc<AtomicU32>) {
+    const ANSWER: &[u8] = b"HTTP/1.1 504 Late\r\nx-execution: unknown\r\ncontent-length: 0\r\n\r\n";
+    loop {
+        let (mut connection, _) = listener.accept().await.unwrap();
+        let mut buf = [0; 4096];
+        if connection.read(&mut buf).await.unwrap_or(0) > 0 {
+            received.fetch_add(1, Ordering::Relaxed);
+            let _ = connection.write_all(ANSWER).await;
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_says_unknown_is_not_kept_as_ran() {
+    let fleet = Fleet::start(FleetOptions::new(2, 1)).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut answers = answers(&fleet.backends);
+    answers["services"][0]["targets"][0]["address"] =
+        Value::String(listener.local_addr().unwrap().to_string());
+    let received = Arc::new(AtomicU32::new(0));
+    tokio::spawn(answer_unknown(listener, Arc::clone(&received)));
+    put_configuration(fleet.store.address(), &answers, 2).await;
+    for gateway in 0..2 {
+        wait_for("generation in force", async || {
+            fleet.dump(gateway).await["configuration"]["generation"] == 2
+        })
+        .await;
+    }
+    let key = timed_key("says-unknown");
+    let first = fleet.order(0, "/order", &key).await;
+    assert_eq!(first.headers()["x-execution"], "unknown");
+    let again = fleet.order(1, "/order", &key).await;
+    expect_problem(again, 502, "outcome-unknown", "unknown").await;
+    assert_eq!(received.load(Ordering::Relaxed), 1);
+}
+
 #[tokio::test]
 async fn an_order_goes_on_when_its_caller_leaves() {
     let mut fleet = Fleet::start(FleetOptions::new(2, 1)).await;
--- a/ibiscroft-lab/src/measured_fleet.rs
+++ b/ibiscroft-lab/src/measured_fleet.rs
@@ -81,10 +81,8 @@
 
     /// Sends requests until each gateway takes each target for warm.
     pub(crate) async fn warm_up(&self, path: &str) -> Result<()> {
-        for gateway in &self.gateways {
-            warm_up(gateway.addresses.callers, gateway.addresses.operators, path).await?;
-        }
-        Ok(())
+        let addresses: Vec<_> = self.gateways.iter().map(|gateway| gateway.addresses).collect();
+        warm_up(&addresses, path).await
     }
 
     async fn metrics(&self, gateway: &Gateway) -> Result<String> {
--- a/ibiscroft-lab/tests/it/main.rs
+++ b/ibiscroft-lab/tests/it/main.rs
@@ -3,7 +3,9 @@
 mod added_time;
 mod backend;
 mod cold_start;
+mod experiment;
 mod load;
+mod noise;
 mod orders;
 mod planned_stop;
 mod range;
