test(gateway): tests with large fleets in a test program of their own

Cause: at a load average of about 100 on the shared machine, `orders::an_order_past_its_deadline_stays_unknown` got 503 in place of 504 within its 100 ms deadline, once in a full run while the fleet of 18 started beside it; alone it passed three of three. Change: the registers tests moved unchanged to `tests/fleet`, which cargo runs after the others. Conclusion: the flake of the order test under such load is not excluded by this.

--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -6,7 +6,6 @@
 mod operators;
 mod orders;
 mod overload;
-mod registers;
 mod settings;
 mod support;
 mod whole_path;
--- a/ibiscroft-gateway/tests/it/support.rs
+++ b/ibiscroft-gateway/tests/it/support.rs
@@ -194,6 +194,7 @@
     /// Where operators connect.
     pub(crate) operators: SocketAddr,
     /// Where other gateways connect.
+    #[allow(dead_code, reason = "read by the tests with large fleets")]
     pub(crate) peers: SocketAddr,
 }
 
