--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod operators;
 mod orders;
 mod overload;
+mod retirement;
 mod settings;
 mod support;
 mod whole_path;
