--- a/ibiscroft-gateway/tests/it/registers.rs
+++ b/ibiscroft-gateway/tests/fleet/registers.rs
@@ -10,12 +10,16 @@
 use reqwest::{Method, StatusCode};
 use tokio::task::JoinHandle;
 
-use crate::support::{Fleet, FleetOptions, PATIENCE, answers, put_configuration, wait_for};
+use crate::support::{
+    Fleet, FleetOptions, Gateway, PATIENCE, answers, put_configuration, wait_for,
+};
 
 /// Longest time until an accepted change is in force everywhere.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(3);
 /// Gateways of a fleet.
 const GATEWAYS: usize = 3;
+/// Gateways of today's largest fleet.
+const LARGE_FLEET: usize = 18;
 /// Requests through each gateway to see where work goes.
 const PROBES: usize = 30;
 /// Requests at once, few enough for the slots of two backend servers.
@@ -74,7 +78,7 @@
 
 #[tokio::test]
 async fn a_paused_gateway_learns_a_departure_from_its_peers_before_it_sends() {
-    let fleet = Fleet::start(FleetOptions::new(GATEWAYS, 3)).await;
+    let fleet = Fleet::start(FleetOptions::new(LARGE_FLEET, 3)).await;
     for read in send_at_once(&fleet, IN_ZONE_A).await {
         assert_eq!(read.await.unwrap(), 200);
     }
@@ -91,7 +95,7 @@
     for read in waiting {
         assert_eq!(read.await.unwrap(), 200);
     }
-    send_reads(&fleet, &[0, 1, 2]).await;
+    send_reads(&fleet, &(0..LARGE_FLEET).collect::<Vec<_>>()).await;
     assert_eq!(received(&fleet, IN_ZONE_A), before);
     assert_eq!(fleet.dump(IN_ZONE_A).await["zones"]["generation"], 1);
 }
@@ -143,6 +147,23 @@
     assert_eq!(fleet.dump(0).await["freshness"]["standing"], "isolated");
 }
 
+#[tokio::test]
+async fn a_gateway_that_starts_during_an_outage_asks_its_peers() {
+    let mut fleet = Fleet::start(FleetOptions::new(2, 3)).await;
+    put_zones(&fleet, 1, &["a"]).await;
+    wait_zones(&fleet, 0, 1).await;
+    set_store_down(&fleet, true);
+    let peers: Vec<_> = fleet.gateways.iter().map(|gateway| gateway.peers).collect();
+    let lonely = Gateway::start(2, fleet.store.address());
+    fleet.gateways.push(Gateway::start_with_peers(3, fleet.store.address(), &peers));
+    fleet.wait_ready(&fleet.gateways[2]).await;
+    let dump = fleet.dump(2).await;
+    assert_eq!(dump["zones"]["out"], serde_json::json!(["a"]));
+    assert_eq!(dump["configuration"]["generation"], 1);
+    let ready = fleet.http.get(format!("http://{}/readyz", lonely.operators)).send().await;
+    assert_eq!(ready.unwrap().status(), 503, "no peers and no store");
+}
+
 #[tokio::test]
 async fn records_handed_over_by_an_operator_spread() {
     let fleet = Fleet::start(FleetOptions::new(GATEWAYS, 3)).await;
