refactor(lab): shorter answer path; the zone's delay holds no slot

Cause: the way back of a far zone was slept with the slot held, and a wait in the queue was taken off it; two types held the stand-ins' addresses. Ruled out: nothing. Change: both ways of the delay come before the queue; faults on answers have their own function; process::StandInAddresses is the only such type. Conclusion: cargo test -p ibiscroft-lab passes but the known red one.

--- a/ibiscroft-lab/src/backend/api.rs
+++ b/ibiscroft-lab/src/backend/api.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use super::answer::{self, BodyState};
+use super::control::AnswerFaults;
 use super::executions::CALL_HEADER;
 use super::pattern::Pattern;
 use super::range::{ByteRange, RangeOutcome, requested_range};
@@ -23,6 +24,9 @@
 /// Header with the number of body bytes that arrived.
 const RECEIVED_BYTES_HEADER: &str = "x-received-bytes";
 
+/// Bytes of an answer when the request names no number.
+const DEFAULT_BYTES: u64 = 64;
+
 /// What a request asks the server to do.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default)]
@@ -85,8 +89,8 @@
     mut req: Request,
 ) -> poem::Result<Response> {
     let arrival = Instant::now();
-    let delay = shared.options.zone_delay;
-    sleep_until_if_later(arrival + delay).await;
+    // Both ways of the delay come first, so that no slot is held on the way back.
+    sleep_until_if_later(arrival + 2 * shared.options.zone_delay).await;
     let received = Received::new(shared.clone());
     let query = req.params::<WorkQuery>()?;
     let deadline = deadline(req.headers(), arrival);
@@ -104,30 +108,31 @@
         shared.crash();
         return Ok(StatusCode::BAD_GATEWAY.into());
     }
-    let work_started = Instant::now();
     if !slot.work(work(&shared, &query), deadline).await {
         return Ok(expired(&shared, request_id.as_deref()));
     }
-    // The way back is as long as the way here; what timers overshot is taken off.
-    let overshoot = work_started.duration_since(arrival).saturating_sub(delay).min(delay);
-    sleep_until_if_later(Instant::now() + (delay - overshoot)).await;
-    let mut response =
-        whole_answer(&shared, connection, &req, &query, received, slot, request_id).await;
+    let accepted = Accepted { connection, received, slot, request_id };
+    let mut response = whole_answer(&shared, accepted, &req, &query).await;
     let received_bytes = body.len().into();
     response.headers_mut().insert(RECEIVED_BYTES_HEADER, received_bytes);
     Ok(response)
 }
 
-async fn whole_answer(
-    shared: &Arc<Shared>,
+/// A request that ran and is to be answered.
+struct Accepted {
     connection: Arc<Connection>,
-    req: &Request,
-    query: &WorkQuery,
     received: Received,
     slot: Slot,
     request_id: Option<String>,
-) -> Response {
-    let faults = shared.lock().take_faults();
+}
+
+/// Applies the faults that concern the connection or the time of the answer.
+async fn apply_faults(
+    shared: &Shared,
+    faults: &AnswerFaults,
+    connection: &Connection,
+    req: &Request,
+) {
     if faults.lose_answer {
         connection.close();
     }
@@ -139,6 +144,17 @@
     if faults.first_byte_delay_ms > 0 {
         tokio::time::sleep(Duration::from_millis(faults.first_byte_delay_ms)).await;
     }
+}
+
+async fn whole_answer(
+    shared: &Arc<Shared>,
+    accepted: Accepted,
+    req: &Request,
+    query: &WorkQuery,
+) -> Response {
+    let Accepted { connection, received, slot, request_id } = accepted;
+    let faults = shared.lock().take_faults();
+    apply_faults(shared, &faults, &connection, req).await;
     let path = if faults.crossed { "/crossed" } else { req.uri().path() };
     let request_id = if faults.crossed { Some("crossed".to_string()) } else { request_id };
     let pattern = Pattern::new(path, query.bytes.unwrap_or(DEFAULT_BYTES));
@@ -179,9 +195,6 @@
     response
 }
 
-/// Bytes of an answer when the request names no number.
-const DEFAULT_BYTES: u64 = 64;
-
 /// Sets the status for the range and returns the bytes to send; `None` when there are none.
 fn answered_range(
     outcome: RangeOutcome,
--- a/ibiscroft-lab/src/cli/serve.rs
+++ b/ibiscroft-lab/src/cli/serve.rs
@@ -6,10 +6,10 @@
 
 use eyre::{Result, bail};
 use gumdrop::Options;
-use serde::Serialize;
 
 use super::{check_loopback, stop_requested};
 use crate::backend::{Backend, BackendOptions, CrashMode, NoiseOptions};
+use crate::process::StandInAddresses;
 use crate::store::{Store, StoreOptions};
 
 /// Arguments of `ibiscroft-lab store`.
@@ -62,13 +62,6 @@
     journal: Option<PathBuf>,
 }
 
-/// The line that a stand-in prints once it listens.
-#[derive(Debug, Serialize)]
-struct Bound {
-    listen: SocketAddr,
-    admin: SocketAddr,
-}
-
 /// Runs the store until SIGINT or SIGTERM.
 pub(super) async fn store(arguments: StoreArguments) -> Result<()> {
     let options = StoreOptions {
@@ -77,7 +70,7 @@
         instance_list_lag: Duration::from_millis(arguments.instances_lag_ms),
     };
     let store = Store::start(options).await?;
-    print_bound(&Bound { listen: store.address(), admin: store.admin_address() })?;
+    print_addresses(StandInAddresses { listen: store.address(), admin: store.admin_address() })?;
     stop_requested().await?;
     store.stop().await;
     Ok(())
@@ -107,7 +100,10 @@
         journal: arguments.journal,
     };
     let backend = Backend::start(options).await?;
-    print_bound(&Bound { listen: backend.address(), admin: backend.admin_address() })?;
+    print_addresses(StandInAddresses {
+        listen: backend.address(),
+        admin: backend.admin_address(),
+    })?;
     stop_requested().await?;
     backend.stop().await;
     Ok(())
@@ -120,7 +116,7 @@
     }
 }
 
-fn print_bound(bound: &Bound) -> Result<()> {
-    println!("{}", serde_json::to_string(bound)?);
+fn print_addresses(addresses: StandInAddresses) -> Result<()> {
+    println!("{}", serde_json::to_string(&addresses)?);
     Ok(())
 }
--- a/ibiscroft-lab/src/process.rs
+++ b/ibiscroft-lab/src/process.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, bail, eyre};
-use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
 
@@ -19,7 +19,7 @@
 const DEFAULT_LOG: &str = "error";
 
 /// The line that a stand-in prints once it listens.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct StandInAddresses {
     /// Address for requests.
     pub listen: SocketAddr,
