--- a/ibiscroft-core/src/admission/departures.rs
+++ b/ibiscroft-core/src/admission/departures.rs
@@ -1,16 +1,17 @@
-//! The measured rate at which requests end.
+//! The measured time that requests hold a place, and how soon places become free.
 
 use std::time::Duration;
 
 use crate::Tick;
 
-/// Weight of the newest interval.
+/// Least weight of the newest request in the mean.
 const NEWEST: f64 = 0.05;
 
-/// Smoothed time between the ends of requests while some are in flight.
+/// Smoothed time that requests hold a place.
 #[derive(Debug, Default)]
 pub(super) struct Departures {
-    interval_us: f64,
+    held_us: f64,
+    count: f64,
     busy_since: Tick,
 }
 
@@ -20,23 +21,21 @@
         self.busy_since = now;
     }
 
-    /// Notes that a request ended.
-    pub(super) fn note_departure(&mut self, now: Tick) {
-        let interval = now.since(self.busy_since).as_micros() as f64;
+    /// Notes that a request ended that was sent at `started`.
+    pub(super) fn note_departure(&mut self, now: Tick, started: Tick) {
+        let held = now.since(started).as_micros() as f64;
         self.busy_since = now;
-        if self.interval_us == 0.0 {
-            self.interval_us = interval;
-            return;
-        }
-        self.interval_us += NEWEST * (interval - self.interval_us);
+        self.count += 1.0;
+        self.held_us += (held - self.held_us) * NEWEST.max(1.0 / self.count);
     }
 
-    /// Returns the expected time until `count` more requests end.
+    /// Returns the expected time until `count` of the `places` become free.
     ///
     /// A stall is expected to last as long again as it has lasted.
-    pub(super) fn expected(&self, now: Tick, count: usize) -> Duration {
+    pub(super) fn expected(&self, now: Tick, count: usize, places: u32) -> Duration {
         let gap = now.since(self.busy_since).as_micros() as f64;
-        let stalled = (gap - self.interval_us).max(0.0);
-        Duration::from_micros((self.interval_us * count as f64 + stalled) as u64)
+        let stalled = (gap - self.held_us).max(0.0);
+        let wait = self.held_us * count as f64 / f64::from(places.max(1));
+        Duration::from_micros((wait + stalled) as u64)
     }
 }
--- a/ibiscroft-core/tests/it/overload/world.rs
+++ b/ibiscroft-core/tests/it/overload/world.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::admission::{Admission, Arrival, Limits, Next, Outcome, Patience, Ticket};
+use ibiscroft_core::admission::{
+    Admission, Arrival, Ended, Limits, Next, Outcome, Patience, Ticket,
+};
 use ibiscroft_core::budget::{Failure, ServiceBudget};
 use ibiscroft_core::ids::Permille;
 use ibiscroft_core::selection::{
@@ -82,6 +84,7 @@
 struct Call {
     gateway: usize,
     arrived: Tick,
+    started: Tick,
     tried: Tried,
     in_flight: Option<InFlight>,
     is_over: bool,
@@ -175,7 +178,14 @@
         let call = self.calls.len();
         let tried = Tried::default();
         let arrived = self.now;
-        self.calls.push(Call { gateway, arrived, tried, in_flight: None, is_over: false });
+        self.calls.push(Call {
+            gateway,
+            arrived,
+            started: arrived,
+            tried,
+            in_flight: None,
+            is_over: false,
+        });
         self.bin(arrived).arrived += 1;
         let limits = self.limits();
         let ticket =
@@ -188,6 +198,7 @@
     }
 
     fn start(&mut self, call: usize) {
+        self.calls[call].started = self.now;
         self.gateways[self.calls[call].gateway].budget.note_call();
         let left = (self.calls[call].arrived + self.setup.deadline).since(self.now);
         self.push(left, Event::GiveUp { call });
@@ -263,7 +274,7 @@
 
     fn finish(&mut self, call: usize, outcome: Outcome) {
         let now = self.now;
-        let Call { gateway, arrived, .. } = self.calls[call];
+        let Call { gateway, arrived, started, .. } = self.calls[call];
         if let Some(in_flight) = self.calls[call].in_flight.take()
             && outcome != Outcome::TimedOut
         {
@@ -283,10 +294,11 @@
         }
         let limits = self.limits();
         let admission = &mut self.gateways[gateway].admission;
-        admission.release(&limits, now, Patience::Interactive, outcome);
+        let ended = Ended { started, patience: Patience::Interactive, outcome };
+        admission.release(&limits, now, &ended);
         if outcome == Outcome::Shed {
             let until = arrived + self.setup.queue_wait;
-            match admission.requeue(now, until, call) {
+            match admission.requeue(&limits, now, until, call) {
                 Arrival::Refused { waiter, .. } => self.refuse(waiter),
                 _ => self.calls[call].tried = Tried::default(),
             }
--- a/ibiscroft-core/tests/it/permits/trace.rs
+++ b/ibiscroft-core/tests/it/permits/trace.rs
@@ -2,7 +2,9 @@
 
 use serde::Deserialize;
 
-use super::world::{Broken, Step, World};
+use super::rules::Broken;
+use super::step::Step;
+use super::world::World;
 
 #[derive(Deserialize)]
 #[serde(untagged)]
@@ -26,6 +28,10 @@
         name: "cold-start-store-outage",
         text: include_str!("../../../../traces/cold-start-store-outage.jsonl"),
     },
+    Case {
+        name: "cold-start-late-store-answers",
+        text: include_str!("../../../../traces/cold-start-late-store-answers.jsonl"),
+    },
 ];
 
 #[test]
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -1,8 +1,13 @@
 //! Tests of the gateway.
 
 mod catalogues;
+mod cold_start;
+mod leaving;
+mod operators;
 mod orders;
+mod overload;
 mod registers;
+mod retirement;
 mod settings;
 mod support;
 mod whole_path;
--- a/ibiscroft-lab/src/demo/fleet.rs
+++ b/ibiscroft-lab/src/demo/fleet.rs
@@ -79,9 +79,8 @@
         for gateway in &fleet.gateways {
             wait_until_ready(gateway).await?;
         }
-        for gateway in &fleet.gateways {
-            warm_up(gateway.addresses.callers, gateway.addresses.operators, "/").await?;
-        }
+        let addresses: Vec<_> = fleet.gateways.iter().map(|gateway| gateway.addresses).collect();
+        warm_up(&addresses, "/warm-up").await?;
         Ok(fleet)
     }
 
--- a/ibiscroft-lab/tests/it/support.rs
+++ b/ibiscroft-lab/tests/it/support.rs
@@ -70,9 +70,8 @@
             system.wait_until_ready(&gateway).await;
             system.gateways.push(gateway);
         }
-        for gateway in &system.gateways {
-            warm_up(gateway.addresses.callers, gateway.addresses.operators, "/").await.unwrap();
-        }
+        let addresses: Vec<_> = system.gateways.iter().map(|gateway| gateway.addresses).collect();
+        warm_up(&addresses, "/warm-up").await.unwrap();
         for backend in &system.backends {
             backend.admin.reset().await.unwrap();
         }
@@ -174,7 +173,6 @@
         "operator_listen": ANY_PORT,
         "peer_listen": ANY_PORT,
         "store": [store],
-        "instance_list": store,
         "drain_notice_ms": 200,
     });
     let path = directory.join(format!("{name}.json"));
