--- a/ibiscroft-gateway/tests/it/orders.rs
+++ b/ibiscroft-gateway/tests/it/orders.rs
@@ -169,7 +169,7 @@
 #[tokio::test]
 async fn an_order_past_its_deadline_stays_unknown() {
     let fleet = Fleet::start(FleetOptions::new(2, 1)).await;
-    for round in 0..3 {
+    for round in 0..5 {
         let key = timed_key(&format!("late-{round}"));
         let path = "/order?work_ms=3000";
         let order = fleet.request(Method::POST, 0, path).header("idempotency-key", &key);
