--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::filters::account::Account;
 use crate::filters::admit::Admit;
 use crate::filters::claim::Claim;
+use crate::filters::contain::Contain;
 use crate::filters::forward::Forward;
 use crate::instance_watch;
 use crate::metrics::Metrics;
@@ -94,6 +95,7 @@
         run: RunId::new(format!("{:08x}", rand::random::<u32>())),
         clock: Clock::start(),
         snapshot: ArcSwap::from_pointee(Snapshot::empty()),
+        standings: ArcSwap::default(),
         validity: Validity::default(),
         metrics: Metrics::new()?,
         observations: observation_tx,
@@ -136,7 +138,8 @@
     let forward = Forward::new(Arc::clone(&shared), BackendClient::new()?);
     let claim = Chain::new(Claim::new(claims.clone(), &limits), forward);
     let admit = Chain::new(Admit::new(Arc::clone(&shared)), claim);
-    let chain = Chain::new(Account::new(Arc::clone(&shared)), admit);
+    let contain = Chain::new(Contain::new(Arc::clone(&shared)), admit);
+    let chain = Chain::new(Account::new(Arc::clone(&shared)), contain);
     let connections = Arc::new(Connections::default());
     let acceptor = ConnectionAcceptor::new(caller_listener, Arc::clone(&connections))?;
     let callers =
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod operators;
 mod orders;
 mod overload;
+mod quarantine;
 mod registers;
 mod settings;
 mod support;
