--- a/ibiscroft-gateway/src/filters/forward.rs
+++ b/ibiscroft-gateway/src/filters/forward.rs
@@ -7,7 +7,7 @@
 
 use ibiscroft_core::ids::RunId;
 use ibiscroft_core::quarantine::Loss;
-use ibiscroft_core::selection::{Selection, Selector, Tried, TwoChoices};
+use ibiscroft_core::selection::{Candidate, Selection, Selector, Tried, TwoChoices};
 use ibiscroft_core::{Tick, budget};
 use ibiscroft_wire::ErrorKind;
 use rand::RngCore;
@@ -226,6 +226,7 @@
             }
             Err(error) => {
                 let has_ended = !matches!(error, SendError::Unknown(..));
+                let was_cold = permit.is_some();
                 if let Some(permit) = permit.filter(|_| has_ended) {
                     permit.end_not_run();
                 }
@@ -234,13 +235,14 @@
                     SendError::NotSent(_) => {
                         in_flight.end_unreachable(now, rand::rng().next_u64());
                     }
-                    SendError::Unknown(ErrorKind::ConnectionLost, _) => {
-                        let run = proof.map_or_else(|| RunId::new(""), |proof| proof.run.clone());
-                        let target = candidate.target.name.clone();
-                        let loss = Loss { fingerprint: ex.fingerprint(), target, run };
-                        self.shared.observe(Observation::Lost { loss, sent_at: begun });
+                    SendError::Unknown(kind, _) => {
+                        if *kind == ErrorKind::ConnectionLost {
+                            self.observe_loss(ex, candidate, proof, begun);
+                        }
+                        if was_cold {
+                            in_flight.end_unreachable(now, rand::rng().next_u64());
+                        }
                     }
-                    SendError::Unknown(..) => {}
                 }
                 Err(error)
             }
@@ -248,6 +250,22 @@
     }
 }
 
+impl Forward {
+    /// Tells control that a request was lost together with its connection.
+    fn observe_loss(
+        &self,
+        ex: &Exchange,
+        candidate: &Candidate,
+        proof: Option<&WarmProof>,
+        sent_at: Tick,
+    ) {
+        let run = proof.map_or_else(|| RunId::new(""), |proof| proof.run.clone());
+        let target = candidate.target.name.clone();
+        let loss = Loss { fingerprint: ex.fingerprint(), target, run };
+        self.shared.observe(Observation::Lost { loss, sent_at });
+    }
+}
+
 impl Handler for Forward {
     async fn handle(&self, ex: &mut Exchange) -> Reply {
         self.attempts(ex).await
--- a/ibiscroft-lab/tests/it/main.rs
+++ b/ibiscroft-lab/tests/it/main.rs
@@ -3,7 +3,10 @@
 mod added_time;
 mod backend;
 mod cold_start;
+mod experiment;
+mod leaving;
 mod load;
+mod noise;
 mod orders;
 mod planned_stop;
 mod range;
