--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -79,6 +79,7 @@
         run: RunId::new(format!("{:08x}", rand::random::<u32>())),
         clock: Clock::start(),
         snapshot: ArcSwap::from_pointee(Snapshot::empty()),
+        standings: ArcSwap::default(),
         validity: Validity::default(),
         metrics: Metrics::new()?,
         observations: observation_tx,
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod operators;
 mod orders;
 mod overload;
+mod quarantine;
 mod retirement;
 mod settings;
 mod support;
