--- a/ibiscroft-lab/tests/it/support.rs
+++ b/ibiscroft-lab/tests/it/support.rs
@@ -173,6 +173,7 @@
         "operator_listen": ANY_PORT,
         "peer_listen": ANY_PORT,
         "store": [store],
+        "instance_list": store,
         "drain_notice_ms": 200,
     });
     let path = directory.join(format!("{name}.json"));
