--- a/ibiscroft-gateway/src/backend_client.rs
+++ b/ibiscroft-gateway/src/backend_client.rs
@@ -28,8 +28,9 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Idle connections kept to one target.
-const MAX_IDLE: usize = 10;
+/// Idle connections that one traffic thread keeps to one target: with 18 gateways of two threads
+/// and their tripwires, a target with 200 connections has room for all of them.
+const MAX_IDLE: usize = 4;
 
 /// Clients for backend servers: one reuses connections, one never does.
 #[derive(Clone, Debug)]
