refactor(gateway): shorter start-up, sightings and stop signals apart

Cause: run_control had grown to a hundred lines and control.rs over 400; a newcomer could not see what starts and in what order it stops. Behaviour is unchanged.

--- a/ibiscroft-gateway/src/control.rs
+++ b/ibiscroft-gateway/src/control.rs
@@ -1,5 +1,7 @@
 //! The control thread: owns every controller and publishes snapshots.
 
+mod sightings;
+
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +11,7 @@
 use ibiscroft_core::leaving::Sighting;
 use ibiscroft_platform::{StoreClient, StoreError};
 use ibiscroft_wire::generated::peer::PeerMessage;
-use ibiscroft_wire::generated::store::{Entry, InstanceEntryState, InstanceList, WatchAnswer};
+use ibiscroft_wire::generated::store::{Entry, InstanceList, WatchAnswer};
 use ibiscroft_wire::keys;
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, oneshot};
@@ -28,6 +30,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::tripwire::TripwireEvent;
+use sightings::{target_leaving, target_serving};
 
 /// Interval of periodic work.
 const TICK: Duration = Duration::from_millis(50);
@@ -35,8 +38,6 @@
 /// Sender of records that an operator handed over; no instance has this name.
 const OPERATOR: &str = "(operator)";
 
-/// Interval at which the word of leaving targets is repeated.
-const REMINDER_INTERVAL: Duration = Duration::from_secs(5);
 /// Longest time between a poll and the arrival of a peer's word of it.
 const PEER_WORD_AGE: Duration = Duration::from_secs(2);
 
@@ -297,53 +298,6 @@
         }
     }
 
-    /// Takes the platform's list; targets that it lacks stay as they are.
-    fn on_instances(&mut self, list: &InstanceList) {
-        let mut sightings = Vec::new();
-        for service in &self.registers.configuration().services {
-            for target in &service.targets {
-                let address = target.address.to_string();
-                let listed = list.instances.iter().find(|entry| entry.address == address);
-                if let Some(entry) = listed {
-                    let leaving = entry.state == InstanceEntryState::Leaving;
-                    sightings.push((target.name.clone(), Sighting::Listed { leaving }));
-                }
-            }
-        }
-        for (target, sighting) in &sightings {
-            self.on_sighting(target, sighting, None);
-        }
-    }
-
-    /// Takes the answer to a poll; a target that serves again is announced to all peers.
-    fn on_polled(&mut self, end: &PollEnd) {
-        self.polls.on_end(&end.target);
-        let Some(sighting) = &end.sighting else {
-            return;
-        };
-        self.on_sighting(&end.target, sighting, None);
-        if let Sighting::Answer { run, draining: false, .. } = sighting {
-            self.peers.broadcast(&target_serving(&end.target, run));
-        }
-    }
-
-    /// Takes what was seen of a target and passes news on to the neighbours.
-    fn on_sighting(
-        &mut self,
-        target: &TargetName,
-        sighting: &Sighting,
-        from: Option<&InstanceName>,
-    ) {
-        let now = self.shared.clock.now();
-        let Some(run) = self.targets.on_sighting(target, sighting, now) else {
-            return;
-        };
-        let message = target_leaving(target, &run);
-        for to in self.registers.audience(from) {
-            self.peers.send(&to, &message);
-        }
-    }
-
     async fn on_command(&mut self, command: ControlCommand) {
         match command {
             ControlCommand::Dump(answer) => {
@@ -375,20 +329,6 @@
         self.remind();
     }
 
-    /// Repeats the word of leaving targets, in case a peer missed it or knows that one is back.
-    fn remind(&mut self) {
-        let now = self.shared.clock.now();
-        if now < self.next_reminder {
-            return;
-        }
-        self.next_reminder = now + REMINDER_INTERVAL;
-        for (target, run) in self.targets.draining() {
-            for to in self.registers.audience(None) {
-                self.peers.send(&to, &target_leaving(target, run));
-            }
-        }
-    }
-
     fn publish_if_changed(&mut self) {
         let registers_changed = self.registers.take_changed();
         let targets_changed = self.targets.take_changed();
@@ -434,14 +374,6 @@
     }
 }
 
-fn target_leaving(target: &TargetName, run: &RunId) -> PeerMessage {
-    PeerMessage::TargetLeaving { target: target.to_string(), run: run.to_string() }
-}
-
-fn target_serving(target: &TargetName, run: &RunId) -> PeerMessage {
-    PeerMessage::TargetServing { target: target.to_string(), run: run.to_string() }
-}
-
 fn gauge(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -13,13 +13,12 @@
 use poem::Server;
 use poem::listener::TcpAcceptor;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::LocalSet;
 
-use crate::claims::{ClaimsController, Retirer};
+use crate::claims::{ClaimsController, ClaimsHandle, Retirer};
 use crate::clock::Clock;
-use crate::control::{Control, ControlCommand, ControlInputs};
+use crate::control::{Control, ControlCommand, ControlEvent, ControlInputs};
 use crate::events::event;
 use crate::instance_watch;
 use crate::metrics::Metrics;
@@ -29,6 +28,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
+use crate::stop_signals::StopSignals;
 use crate::store_watch;
 use crate::traffic::{Traffic, TrafficParts};
 use crate::validity::Validity;
@@ -61,92 +61,141 @@
     LocalSet::new().block_on(&control, run_control(settings))
 }
 
-async fn run_control(mut settings: Settings) -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).wrap_err("signal handler")?;
-    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("signal handler")?;
-    let caller_listener = bind(&mut settings.caller_listen).await?;
-    let operator_listener = bind(&mut settings.operator_listen).await?;
-    let peer_listener = bind(&mut settings.peer_listen).await?;
-    let settings = Rc::new(settings);
-    let store = StoreClient::new(settings.store.clone(), STORE_TIMEOUT)?;
+async fn run_control(settings: Settings) -> eyre::Result<()> {
+    let mut signals = StopSignals::new()?;
+    let daemon = Daemon::start(settings).await?;
+    announce(&daemon.settings);
+    signals.wait().await;
+    event!(StopRequested, "callers are told to go elsewhere");
+    tokio::task::spawn_local(signals.ignore_further());
+    daemon.stop().await
+}
+
+/// The listeners of a gateway.
+struct Listeners {
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: TcpListener,
+}
 
-    let (observation_tx, observations) = mpsc::channel(OBSERVATION_QUEUE);
-    let (permit_tx, permits) = mpsc::channel(PERMIT_QUEUE);
-    let (command_tx, commands) = mpsc::channel(COMMAND_QUEUE);
-    let (event_tx, events) = mpsc::unbounded_channel();
-    let shared = Arc::new(Shared {
-        instance: settings.instance.clone(),
-        run: RunId::new(format!("{:08x}", rand::random::<u32>())),
-        clock: Clock::start(),
-        snapshot: ArcSwap::from_pointee(Snapshot::empty()),
-        standings: ArcSwap::default(),
-        validity: Validity::default(),
-        metrics: Metrics::new()?,
-        observations: observation_tx,
-        permits: PermitSender::new(permit_tx),
-    });
-    let closing = Arc::new(AtomicBool::new(false));
+impl Listeners {
+    /// Binds all addresses of the settings and notes the ports that the system chose.
+    async fn bind(settings: &mut Settings) -> eyre::Result<Self> {
+        Ok(Self {
+            callers: bind(&mut settings.caller_listen).await?,
+            operators: bind(&mut settings.operator_listen).await?,
+            peers: bind(&mut settings.peer_listen).await?,
+        })
+    }
+}
 
-    let limits = ClaimLimits::for_fleet(DEFAULT_GATEWAYS);
+/// A running gateway.
+struct Daemon {
+    settings: Rc<Settings>,
+    shared: Arc<Shared>,
+    claims: ClaimsHandle,
+    commands: mpsc::Sender<ControlCommand>,
+    traffic: Traffic,
+    closing: Arc<AtomicBool>,
+}
+
+impl Daemon {
+    async fn start(mut settings: Settings) -> eyre::Result<Self> {
+        let listeners = Listeners::bind(&mut settings).await?;
+        let settings = Rc::new(settings);
+        let store = StoreClient::new(settings.store.clone(), STORE_TIMEOUT)?;
+        let (observation_tx, observations) = mpsc::channel(OBSERVATION_QUEUE);
+        let (permit_tx, permits) = mpsc::channel(PERMIT_QUEUE);
+        let (command_tx, commands) = mpsc::channel(COMMAND_QUEUE);
+        let (event_tx, events) = mpsc::unbounded_channel();
+        let shared = Arc::new(Shared {
+            instance: settings.instance.clone(),
+            run: RunId::new(format!("{:08x}", rand::random::<u32>())),
+            clock: Clock::start(),
+            snapshot: ArcSwap::from_pointee(Snapshot::empty()),
+            standings: ArcSwap::default(),
+            validity: Validity::default(),
+            metrics: Metrics::new()?,
+            observations: observation_tx,
+            permits: PermitSender::new(permit_tx),
+        });
+        let closing = Arc::new(AtomicBool::new(false));
+        let claim_limits = ClaimLimits::for_fleet(DEFAULT_GATEWAYS);
+        let claims = start_claims(&settings, &shared, &store, claim_limits)?;
+        let control = Control::new(
+            Arc::clone(&shared),
+            Rc::clone(&settings),
+            store.clone(),
+            claims.clone(),
+            event_tx.clone(),
+        );
+        let inputs = ControlInputs { events, observations, permits, commands };
+        tokio::task::spawn_local(control.run(inputs));
+        start_watches(&settings, &shared, store, &event_tx)?;
+        tokio::task::spawn_local(peer_link::listen(listeners.peers, Arc::clone(&shared), event_tx));
+        let operators =
+            OperatorEndpoint::new(Arc::clone(&shared), command_tx.clone(), Arc::clone(&closing));
+        let acceptor = TcpAcceptor::from_tokio(listeners.operators)?;
+        tokio::spawn(Server::new_with_acceptor(acceptor).run(operators));
+        let parts = TrafficParts {
+            shared: Arc::clone(&shared),
+            claims: claims.clone(),
+            claim_limits,
+            closing: Arc::clone(&closing),
+            drain_limit: settings.drain_limit,
+        };
+        let traffic = Traffic::start(listeners.callers, settings.traffic_threads, &parts)?;
+        Ok(Self { settings, shared, claims, commands: command_tx, traffic, closing })
+    }
+
+    /// Stops gracefully: not ready, off the roster, drained, outcomes recorded.
+    async fn stop(mut self) -> eyre::Result<()> {
+        self.closing.store(true, Ordering::Relaxed);
+        tokio::time::sleep(self.settings.drain_notice).await;
+        let (left_tx, left_rx) = oneshot::channel();
+        if self.commands.send(ControlCommand::Leave(left_tx)).await.is_ok() {
+            let _ = left_rx.await;
+        }
+        self.traffic.drain().await?;
+        if tokio::time::timeout(CLAIM_FLUSH_LIMIT, self.claims.flush()).await.is_err() {
+            event!(ClaimsUnflushed, "{}", self.claims.dump().await);
+        }
+        let in_flight = self.shared.metrics.in_flight.get();
+        if in_flight > 0 {
+            event!(StopLimitReached, "{in_flight} requests in flight");
+        }
+        event!(Stopped, "all requests ended");
+        Ok(())
+    }
+}
+
+/// Starts the claims controller and the removal of old claim pages.
+fn start_claims(
+    settings: &Settings,
+    shared: &Shared,
+    store: &StoreClient,
+    limits: ClaimLimits,
+) -> eyre::Result<ClaimsHandle> {
     let claim_store = StoreClient::new(settings.store.clone(), CLAIM_STORE_TIMEOUT)?;
     let metrics = shared.metrics.claims.clone();
     let (controller, claims) = ClaimsController::new(limits, claim_store, shared.clock, metrics);
     tokio::task::spawn_local(controller.run());
     tokio::task::spawn_local(Retirer::new(store.clone(), limits).run(shared.clock));
+    Ok(claims)
+}
 
-    let control = Control::new(
-        Arc::clone(&shared),
-        Rc::clone(&settings),
-        store.clone(),
-        claims.clone(),
-        event_tx.clone(),
-    );
-    tokio::task::spawn_local(control.run(ControlInputs {
-        events,
-        observations,
-        permits,
-        commands,
-    }));
+/// Starts the watch of the store and, if it is known, of the instance list.
+fn start_watches(
+    settings: &Settings,
+    shared: &Arc<Shared>,
+    store: StoreClient,
+    events: &mpsc::UnboundedSender<ControlEvent>,
+) -> eyre::Result<()> {
     if let Some(address) = settings.instance_list {
         let list = StoreClient::new(vec![address], STORE_TIMEOUT)?;
-        tokio::task::spawn_local(instance_watch::watch(list, event_tx.clone()));
-    }
-    tokio::task::spawn_local(store_watch::watch(store, Arc::clone(&shared), event_tx.clone()));
-    tokio::task::spawn_local(peer_link::listen(peer_listener, Arc::clone(&shared), event_tx));
-    let operators =
-        OperatorEndpoint::new(Arc::clone(&shared), command_tx.clone(), Arc::clone(&closing));
-    tokio::spawn(
-        Server::new_with_acceptor(TcpAcceptor::from_tokio(operator_listener)?).run(operators),
-    );
-
-    let parts = TrafficParts {
-        shared: Arc::clone(&shared),
-        claims: claims.clone(),
-        claim_limits: limits,
-        closing: Arc::clone(&closing),
-        drain_limit: settings.drain_limit,
-    };
-    let mut traffic = Traffic::start(caller_listener, settings.traffic_threads, &parts)?;
-    announce(&settings);
-
-    wait_for_signal(&mut terminate, &mut interrupt).await;
-    event!(StopRequested, "callers are told to go elsewhere");
-    tokio::task::spawn_local(ignore_further_signals(terminate, interrupt));
-    closing.store(true, Ordering::Relaxed);
-    tokio::time::sleep(settings.drain_notice).await;
-    let (left_tx, left_rx) = oneshot::channel();
-    if command_tx.send(ControlCommand::Leave(left_tx)).await.is_ok() {
-        let _ = left_rx.await;
-    }
-    traffic.drain().await?;
-    if tokio::time::timeout(CLAIM_FLUSH_LIMIT, claims.flush()).await.is_err() {
-        event!(ClaimsUnflushed, "{}", claims.dump().await);
+        tokio::task::spawn_local(instance_watch::watch(list, events.clone()));
     }
-    let in_flight = shared.metrics.in_flight.get();
-    if in_flight > 0 {
-        event!(StopLimitReached, "{in_flight} requests in flight");
-    }
-    event!(Stopped, "all requests ended");
+    tokio::task::spawn_local(store_watch::watch(store, Arc::clone(shared), events.clone()));
     Ok(())
 }
 
@@ -171,17 +220,3 @@
     );
     event!(Started, "callers on {}", settings.caller_listen);
 }
-
-async fn wait_for_signal(terminate: &mut Signal, interrupt: &mut Signal) {
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-}
-
-async fn ignore_further_signals(mut terminate: Signal, mut interrupt: Signal) {
-    loop {
-        wait_for_signal(&mut terminate, &mut interrupt).await;
-        event!(StopRepeated, "requests in flight go on");
-    }
-}
--- a/ibiscroft-gateway/src/lib.rs
+++ b/ibiscroft-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod service_admission;
 mod shared;
 mod snapshot;
+mod stop_signals;
 mod store_watch;
 mod traffic;
 mod tripwire;
