feat(edge): a daemon for fleets whose targets register themselves, and its adapter

Cause: the gateway reads its targets from the operators' configuration and proves their warmth by permits and tripwires, about 2.7 store calls a second each. On the users' platform targets register themselves in the store, and calls and bytes between zones are priced.

Change: ibiscroft-core::fleet (view, routes, weights, probing, retry window, cold shares), ibiscroft-edge (daemon: filters, control thread), platform/ (store client, header fields, configuration, entries).

--- /dev/null
+++ b/ibiscroft-core/src/fleet.rs
@@ -0,0 +1,29 @@
+//! What a gateway believes of a fleet whose targets register themselves in a shared store.
+//!
+//! Routes, services, evacuated zones, targets and gateways arrive as [`Change`]s; [`View`] is the
+//! state that they add up to. The other parts decide on a request with such a view: where it may
+//! go, which target is asked, whether another try may be spent on it.
+
+mod change;
+mod cold_share;
+mod configuration;
+mod feed;
+mod health;
+mod probe;
+mod retry_window;
+mod route;
+mod split;
+mod target;
+mod view;
+
+pub use change::{Change, Revision, Update};
+pub use cold_share::{ColdShare, ColdShares};
+pub use configuration::{CallerLimits, Configuration, ServicePolicy};
+pub use feed::{Feed, FeedAction, Source};
+pub use health::{Health, Verdict};
+pub use probe::{Probing, Report, Step};
+pub use retry_window::{RetryTerms, RetryWindow};
+pub use route::{Repeatable, Route, Share};
+pub use split::Split;
+pub use target::{Born, Member, Target, TargetState};
+pub use view::View;
--- /dev/null
+++ b/ibiscroft-core/src/fleet/cold_share.rs
@@ -0,0 +1,67 @@
+//! Requests to cold targets: each gateway's part of what one bears.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use crate::Tick;
+use crate::ids::{InstanceName, TargetName};
+use crate::rendezvous;
+
+/// Span in which requests to a cold target are counted, with room for late arrivals.
+const SPAN: Duration = Duration::from_millis(1_100);
+
+/// One gateway's part of the requests that a cold target bears.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdShare {
+    /// Requests in any span of a second.
+    pub per_second: u32,
+}
+
+impl ColdShare {
+    /// Returns the part of `own` of the `rate` that a cold target bears from the whole fleet.
+    ///
+    /// With more gateways than requests, those that rank first for the target get one each.
+    #[must_use]
+    pub fn of<'a>(
+        rate: f64,
+        target: &TargetName,
+        own: &InstanceName,
+        gateways: impl ExactSizeIterator<Item = &'a InstanceName>,
+    ) -> Self {
+        let count = gateways.len().max(1);
+        let whole = rate.max(0.0) as usize;
+        if count <= whole {
+            let per_second = u32::try_from(whole / count).unwrap_or(u32::MAX);
+            return Self { per_second };
+        }
+        let names = gateways.map(InstanceName::as_str);
+        let first = rendezvous::ranked(target.as_str(), names, whole);
+        Self { per_second: u32::from(first.contains(&own.as_str())) }
+    }
+}
+
+/// Requests that one gateway sent to cold targets lately.
+#[derive(Clone, Debug, Default)]
+pub struct ColdShares {
+    sent: HashMap<TargetName, VecDeque<Tick>>,
+}
+
+impl ColdShares {
+    /// Takes a request to a cold target if the share has room.
+    pub fn try_send(&mut self, now: Tick, target: &TargetName, share: ColdShare) -> bool {
+        let sent = self.sent.entry(target.clone()).or_default();
+        while sent.front().is_some_and(|at| now.since(*at) > SPAN) {
+            sent.pop_front();
+        }
+        if sent.len() >= share.per_second as usize {
+            return false;
+        }
+        sent.push_back(now);
+        true
+    }
+
+    /// Forgets targets without recent requests.
+    pub fn expire(&mut self, now: Tick) {
+        self.sent.retain(|_, sent| sent.back().is_some_and(|at| now.since(*at) <= SPAN));
+    }
+}
--- /dev/null
+++ b/ibiscroft-core/src/fleet/probe.rs
@@ -0,0 +1,123 @@
+//! Choice among targets by what they say of their load right before the send.
+//!
+//! Load shifts within milliseconds, so what a target reported with its last answer is stale by
+//! the time of the next request. A gateway asks a few targets and sends to the one that will
+//! answer soonest; an idle one is taken as soon as it has said so.
+
+use std::time::Duration;
+
+use crate::ids::Slots;
+
+/// Share of busy slots above which targets are slower.
+const KNEE: f64 = 0.8;
+/// Factor by which a target is slower above the knee.
+const KNEE_FACTOR: f64 = 1.7;
+/// Factor by which a cold target is slower.
+const COLD_FACTOR: f64 = 2.0;
+/// Cost up to which the first target that answered is taken.
+const GOOD_COST: f64 = 1.05;
+/// Weight of a target's failure rate in its cost.
+const FAILURE_WEIGHT: f64 = 8.0;
+
+/// Cost of a target that says that it is ill; health checks may be wrong, so one is sent to when
+/// there is no other.
+const ILL_COST: f64 = 20.0;
+
+/// What a target says of its load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Report {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: Slots,
+    /// Time that work takes now, relative to the usual.
+    pub slowness: f64,
+    /// How much longer the target stays cold; zero when it is warm.
+    pub cold_left: Duration,
+    /// Whether the target says that it can serve.
+    pub is_healthy: bool,
+}
+
+impl Report {
+    /// Returns the expected time of one more request, in units of its usual time.
+    #[must_use]
+    pub fn cost(&self) -> f64 {
+        let slots = f64::from(self.slots.get().max(1));
+        let busy = f64::from(self.running + self.waiting) + 1.0;
+        let knee = if busy.min(slots) / slots > KNEE { KNEE_FACTOR } else { 1.0 };
+        let cold = if self.cold_left.is_zero() { 1.0 } else { COLD_FACTOR };
+        let queued = (busy - slots).max(0.0);
+        self.slowness * knee * cold * (1.0 + queued / slots)
+    }
+}
+
+/// What to do after a target answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Send the request to the target with this index.
+    Send(usize),
+    /// Wait for the others.
+    Wait,
+}
+
+/// One request's choice among the targets that were asked.
+#[derive(Clone, Debug, Default)]
+pub struct Probing {
+    asked: usize,
+    ended: usize,
+    best: Option<(f64, usize)>,
+}
+
+impl Probing {
+    /// Counts a target that was asked.
+    pub fn ask(&mut self) {
+        self.asked += 1;
+    }
+
+    /// Takes the answer of the target with index `index`.
+    ///
+    /// `extra` is what a send there costs besides, in units of a request's usual time, such as
+    /// the way to another zone; `failure_rate` is the target's recent one.
+    pub fn on_report(
+        &mut self,
+        index: usize,
+        report: &Report,
+        extra: f64,
+        failure_rate: f64,
+    ) -> Step {
+        self.ended += 1;
+        let illness = if report.is_healthy { 0.0 } else { ILL_COST };
+        let cost = report.cost() + extra + failure_rate * FAILURE_WEIGHT + illness;
+        if self.best.is_none_or(|(least, _)| cost < least) {
+            self.best = Some((cost, index));
+        }
+        self.step()
+    }
+
+    /// Notes that a target that was asked gave no usable answer.
+    pub fn on_failure(&mut self) -> Step {
+        self.ended += 1;
+        self.step()
+    }
+
+    /// Returns the best target so far with its cost.
+    #[must_use]
+    pub fn best(&self) -> Option<(f64, usize)> {
+        self.best
+    }
+
+    /// Returns whether each target that was asked has answered or failed.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        self.ended >= self.asked
+    }
+
+    fn step(&self) -> Step {
+        match self.best {
+            Some((cost, index)) if cost <= GOOD_COST || self.is_over() => Step::Send(index),
+            _ => Step::Wait,
+        }
+    }
+}
--- a/ibiscroft-core/src/lib.rs
+++ b/ibiscroft-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod budget;
 pub mod claims;
 pub mod config;
+pub mod fleet;
 pub mod freshness;
 pub mod gossip;
 pub mod ids;
--- /dev/null
+++ b/ibiscroft-edge/src/daemon.rs
@@ -0,0 +1,139 @@
+//! Starts a daemon and stops it gracefully.
+
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use eyre::WrapErr;
+use ibiscroft_listener::{ConnectionAcceptor, Connections};
+use poem::Server;
+use poem::listener::TcpAcceptor;
+use tokio::net::TcpListener;
+
+use crate::dialect::Dialect;
+use crate::events::event;
+use crate::feeder::{Feeder, keep_registered};
+use crate::filters::account::Account;
+use crate::filters::forward::Forward;
+use crate::registry::{Lease, Registry};
+use crate::server::CallerEndpoint;
+use crate::settings::Settings;
+use crate::shared::Shared;
+use crate::status_server::StatusEndpoint;
+use crate::stop::{Asked, Signals};
+
+/// Part of the stop's grace in which new connections are still taken, until the platform's
+/// balancer has noticed that the daemon is not ready.
+const NOTICE_PART: f64 = 0.45;
+/// Part of the stop's grace after the notice in which requests in flight may end.
+const DRAIN_PART: f64 = 0.45;
+/// Longest wait for the store at the end of the process.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Interval in which idle connections to targets are looked through.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// Runs a daemon until a planned stop ends.
+///
+/// # Errors
+///
+/// Returns why the daemon could not start or serve.
+pub fn run<D: Dialect, R: Registry>(
+    settings: Settings,
+    settings_file: PathBuf,
+    registry: R,
+) -> eyre::Result<()> {
+    let shared = Shared::new(settings).wrap_err("metrics")?;
+    let lease = Arc::new(Mutex::new(None));
+    start_control(Arc::clone(&shared), registry.clone(), Arc::clone(&lease))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(serve::<D, R>(shared, settings_file, registry, lease))
+}
+
+/// Starts the thread that owns what the daemon believes.
+fn start_control<R: Registry>(
+    shared: Arc<Shared>,
+    registry: R,
+    lease: Arc<Mutex<Option<Lease>>>,
+) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    std::thread::Builder::new()
+        .name("control".to_string())
+        .spawn(move || {
+            runtime.block_on(async {
+                let feeder = Feeder::new(Arc::clone(&shared), registry.clone());
+                tokio::join!(feeder.run(), keep_registered(shared, registry, lease));
+            });
+        })
+        .wrap_err("thread for control")?;
+    Ok(())
+}
+
+async fn serve<D: Dialect, R: Registry>(
+    shared: Arc<Shared>,
+    settings_file: PathBuf,
+    registry: R,
+    lease: Arc<Mutex<Option<Lease>>>,
+) -> eyre::Result<()> {
+    let settings = &shared.settings;
+    let callers = bind(settings.caller_listen).await?;
+    let status = TcpAcceptor::from_tokio(bind(settings.status_listen).await?)?;
+    tokio::spawn(Server::new_with_acceptor(status).run(StatusEndpoint::new(Arc::clone(&shared))));
+    tokio::spawn(sweep(Arc::clone(&shared)));
+    event!(Started, "instance={} callers={}", settings.instance, settings.caller_listen);
+
+    let connections = Arc::new(Connections::default());
+    let acceptor = ConnectionAcceptor::new(callers, Arc::clone(&connections))?;
+    let chain = Account::new(Arc::clone(&shared), Forward::<D>::new(Arc::clone(&shared)));
+    let endpoint = CallerEndpoint::<D, _>::new(Arc::clone(&shared), chain, connections);
+    let grace = Duration::from_secs_f64(settings.stop_grace_s);
+    let stop = stopped(Arc::clone(&shared), settings_file, Signals::new()?);
+    Server::new_with_acceptor(acceptor)
+        .run_with_graceful_shutdown(endpoint, stop, Some(grace.mul_f64(DRAIN_PART)))
+        .await
+        .wrap_err("server for callers")?;
+    let lease = *lease.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(lease) = lease
+        && let Err(error) = tokio::time::timeout(LEAVE_TIMEOUT, registry.leave(lease)).await
+    {
+        event!(RegistrationFailed, "lease={lease} reason=\"not ended: {error}\"");
+    }
+    event!(Stopped, "in_flight={}", shared.metrics.in_flight.get());
+    log::logger().flush();
+    Ok(())
+}
+
+/// Waits until a planned stop may end the acceptance of connections.
+async fn stopped(shared: Arc<Shared>, settings_file: PathBuf, mut signals: Signals) {
+    while signals.next().await == Asked::Reload {
+        reload(&shared, &settings_file);
+    }
+    shared.is_closing.store(true, Ordering::Relaxed);
+    event!(StopRequested, "in_flight={}", shared.metrics.in_flight.get());
+    let grace = Duration::from_secs_f64(shared.settings.stop_grace_s);
+    tokio::time::sleep(grace.mul_f64(NOTICE_PART)).await;
+}
+
+/// Reads the settings again; a faulty file changes nothing.
+fn reload(shared: &Shared, settings_file: &std::path::Path) {
+    match Settings::read(settings_file) {
+        Ok(found) if found == shared.settings => event!(SettingsReloaded, "changed=false"),
+        Ok(_) => event!(SettingsReloaded, "changed=true in_force=next_start"),
+        Err(error) => event!(SettingsRefused, "reason={:?}", format!("{error:#}")),
+    }
+}
+
+/// Closes connections to targets that are no longer usable.
+async fn sweep(shared: Arc<Shared>) {
+    let mut timer = tokio::time::interval(SWEEP);
+    loop {
+        timer.tick().await;
+        let view = shared.view.load_full();
+        shared.pool.sweep(|name| view.target(name).is_some());
+        shared.local().cold.expire(shared.clock.now());
+    }
+}
+
+async fn bind(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| format!("listen on {address}"))
+}
--- /dev/null
+++ b/ibiscroft-edge/src/filters/account.rs
@@ -0,0 +1,93 @@
+//! Counts requests and logs what became of each.
+
+use std::sync::Arc;
+
+use ibiscroft_core::Tick;
+
+use super::Handler;
+use crate::events::event;
+use crate::exchange::Exchange;
+use crate::reply::{Failure, Reply};
+use crate::shared::Shared;
+
+/// Counts and logs the requests that pass.
+#[derive(Debug)]
+pub(crate) struct Account<H> {
+    shared: Arc<Shared>,
+    next: H,
+}
+
+impl<H> Account<H> {
+    /// Makes the filter before `next`.
+    pub(crate) fn new(shared: Arc<Shared>, next: H) -> Self {
+        Self { shared, next }
+    }
+}
+
+/// Counts a request as in flight, and logs it if it is dropped before its end.
+struct InFlight<'a> {
+    shared: &'a Shared,
+    ex: &'a Exchange,
+    has_ended: bool,
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.shared.metrics.in_flight.dec();
+        if !self.has_ended {
+            let age = self.shared.clock.now().since(self.ex.received);
+            self.shared.metrics.requests.with_label_values(&["abandoned"]).inc();
+            event!(RequestAbandoned, "req={} after_ms={}", self.ex.request_id, age.as_millis());
+        }
+    }
+}
+
+impl<H: Handler> Handler for Account<H> {
+    async fn handle(&self, ex: &Exchange) -> Reply {
+        self.shared.metrics.in_flight.inc();
+        let mut in_flight = InFlight { shared: &self.shared, ex, has_ended: false };
+        let reply = self.next.handle(ex).await;
+        in_flight.has_ended = true;
+        let now = self.shared.clock.now();
+        self.shared.metrics.latency.observe(now.since(ex.received).as_secs_f64());
+        match &reply {
+            Ok(answer) => {
+                self.shared.metrics.requests.with_label_values(&["answered"]).inc();
+                event!(
+                    RequestAnswered,
+                    "req={} route={} service={} status={} ms={}",
+                    ex.request_id,
+                    ex.route.name,
+                    ex.service,
+                    answer.status.as_u16(),
+                    now.since(ex.received).as_millis(),
+                );
+            }
+            Err(failure) => note_failure(&self.shared, ex, failure, now),
+        }
+        reply
+    }
+}
+
+fn note_failure(shared: &Shared, ex: &Exchange, failure: &Failure, now: Tick) {
+    let ms = now.since(ex.received).as_millis();
+    let name = failure.kind.name();
+    shared.metrics.requests.with_label_values(&[name]).inc();
+    let Exchange { request_id, route, service, version, .. } = ex;
+    let route = &route.name;
+    let detail = &failure.detail;
+    if failure.kind.is_unrun() {
+        let back = failure.retry_after.unwrap_or_default().as_millis();
+        event!(
+            RequestRefused,
+            "req={request_id} route={route} service={service} version={version} kind={name} \
+             ms={ms} retry_after_ms={back} detail={detail:?}"
+        );
+    } else {
+        event!(
+            RequestFailed,
+            "req={request_id} route={route} service={service} version={version} kind={name} \
+             ms={ms} detail={detail:?}"
+        );
+    }
+}
--- /dev/null
+++ b/ibiscroft-edge/src/filters/forward.rs
@@ -0,0 +1,216 @@
+//! Sends a request to targets until one answers or the rules allow no further send.
+
+use std::marker::PhantomData;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ibiscroft_core::Tick;
+use ibiscroft_core::fleet::Verdict;
+use ibiscroft_core::ids::TargetName;
+
+use super::Handler;
+use super::retry_after::retry_after;
+use super::select::{Chosen, NoneChosen, select};
+use super::send::{SendError, send};
+use crate::dialect::{Dialect, Refusal};
+use crate::events::event;
+use crate::exchange::Exchange;
+use crate::reply::{Answer, Failure, FailureKind, Reply};
+use crate::shared::Shared;
+
+/// Time after the deadline in which an answer that is on its way is still waited for.
+const LATE_ANSWER: Duration = Duration::from_millis(100);
+/// Connections that may turn out closed before a request was handed to any.
+const MAX_UNSENT: u32 = 3;
+/// Time after which targets that refused may have room, if no usual time is known.
+const DEFAULT_ROOM: Duration = Duration::from_millis(100);
+
+/// Sends requests to targets.
+#[derive(Debug)]
+pub(crate) struct Forward<D> {
+    shared: Arc<Shared>,
+    dialect: PhantomData<fn() -> D>,
+}
+
+/// Sends of one request so far.
+#[derive(Debug, Default)]
+struct Progress {
+    tried: Vec<TargetName>,
+    sent: u32,
+    unsent: u32,
+}
+
+impl<D: Dialect> Forward<D> {
+    /// Makes the filter.
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self { shared, dialect: PhantomData }
+    }
+
+    async fn attempts(&self, ex: &Exchange) -> Reply {
+        let shared = &self.shared;
+        let terms = shared.retry_terms();
+        shared.local().window(&ex.service, terms).note_request(shared.clock.now());
+        let mut progress = Progress::default();
+        let mut last = None;
+        loop {
+            let chosen = match select::<D>(shared, ex, &progress.tried).await {
+                Ok(chosen) => chosen,
+                Err(none) => return Err(last.unwrap_or_else(|| self.no_target(ex, &none))),
+            };
+            if let Some(failure) = self.too_late(ex, &chosen) {
+                let Chosen { target, link, .. } = chosen;
+                shared.pool.put(&target.name, link);
+                return Err(last.unwrap_or(failure));
+            }
+            let error = match self.attempt(ex, chosen, &mut progress).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            let may_repeat = match &error {
+                SendError::NotSent(_) => progress.unsent <= MAX_UNSENT,
+                SendError::Refused(_) => self.may_send_again(ex, &progress),
+                SendError::Lost(_) => {
+                    ex.route.repeatable.is_repeatable() && self.may_send_again(ex, &progress)
+                }
+                SendError::TimedOut => false,
+            };
+            let failure = self.failure(ex, error);
+            if !may_repeat || shared.clock.now() >= ex.deadline {
+                return Err(failure);
+            }
+            last = Some(failure);
+        }
+    }
+
+    async fn attempt(
+        &self,
+        ex: &Exchange,
+        chosen: Chosen,
+        progress: &mut Progress,
+    ) -> Result<Answer, SendError> {
+        let shared = &self.shared;
+        let name = chosen.target.name.clone();
+        let (cost, report) = (chosen.cost, chosen.report);
+        progress.tried.push(name.clone());
+        let began = shared.clock.now();
+        let sent = send::<D>(shared, ex, chosen, ex.deadline + LATE_ANSWER).await;
+        let now = shared.clock.now();
+        let verdict = match &sent {
+            Ok(answer) if answer.status.is_server_error() => Verdict::Failed,
+            Ok(_) => Verdict::Answered,
+            Err(SendError::Refused(_)) => Verdict::Refused,
+            Err(SendError::NotSent(_)) => Verdict::Unreachable,
+            Err(_) => Verdict::Failed,
+        };
+        let mut local = shared.local();
+        local.note(now, &name, verdict);
+        if verdict == Verdict::Answered {
+            local.note_time(&ex.service, now.since(began), cost);
+        }
+        drop(local);
+        match &sent {
+            Err(SendError::NotSent(_)) => progress.unsent += 1,
+            _ => progress.sent += 1,
+        }
+        if let Err(error) = &sent {
+            let reason = reason(error);
+            shared.metrics.send_failures.with_label_values(&[reason]).inc();
+            event!(
+                SendFailed,
+                "req={} target={name} reason={reason} ms={} running={} waiting={} slots={} \
+                 slowness={:.2} detail={error:?}",
+                ex.request_id,
+                now.since(began).as_millis(),
+                report.running,
+                report.waiting,
+                report.slots,
+                report.slowness,
+            );
+        }
+        sent
+    }
+
+    /// Takes a further send from the route's and the fleet's allowance.
+    fn may_send_again(&self, ex: &Exchange, progress: &Progress) -> bool {
+        if progress.sent >= ex.route.max_attempts {
+            return false;
+        }
+        let shared = &self.shared;
+        let gateways = shared.gateways();
+        let now = shared.clock.now();
+        shared.local().window(&ex.service, shared.retry_terms()).try_retry(now, gateways, 0.0)
+    }
+
+    /// Returns the refusal of a request that the best target would answer after its deadline.
+    fn too_late(&self, ex: &Exchange, chosen: &Chosen) -> Option<Failure> {
+        let usual = self.shared.local().usual_time(&ex.service)?;
+        let left = ex.deadline.since(self.shared.clock.now());
+        let expected = usual.mul_f64(chosen.report.cost());
+        if expected <= left {
+            return None;
+        }
+        let detail = format!(
+            "the best target would take {} ms of {} ms left: running={} waiting={} slots={} \
+             slowness={:.2}",
+            expected.as_millis(),
+            left.as_millis(),
+            chosen.report.running,
+            chosen.report.waiting,
+            chosen.report.slots,
+            chosen.report.slowness,
+        );
+        let room_in = expected.saturating_sub(left);
+        Some(Failure::new(FailureKind::Overloaded, detail).retry_after(retry_after(room_in, left)))
+    }
+
+    fn no_target(&self, ex: &Exchange, none: &NoneChosen) -> Failure {
+        let left = ex.deadline.since(self.shared.clock.now());
+        let detail = format!("usable={} asked={}, none can be sent to", none.usable, none.asked);
+        Failure::new(FailureKind::NoTarget, detail).retry_after(retry_after(DEFAULT_ROOM, left))
+    }
+
+    /// Returns what the caller is told of a send that brought no answer.
+    fn failure(&self, ex: &Exchange, error: SendError) -> Failure {
+        let left = ex.deadline.since(self.shared.clock.now());
+        let back = retry_after(DEFAULT_ROOM, left);
+        match error {
+            SendError::NotSent(detail) => {
+                Failure::new(FailureKind::NoTarget, detail).retry_after(back)
+            }
+            SendError::Refused(refusal) => {
+                let detail = match refusal {
+                    Refusal::Shed => "the targets that were tried are full",
+                    Refusal::WrongTarget => "the target's address belongs to another one",
+                };
+                Failure::new(FailureKind::Shed, detail).retry_after(back)
+            }
+            SendError::Lost(detail) => Failure::new(FailureKind::AnswerLost, detail),
+            SendError::TimedOut => {
+                let ms = ex.route.timeout.as_millis();
+                let detail = format!("no answer before the deadline; the route allows {ms} ms");
+                Failure::new(FailureKind::TimedOut, detail)
+            }
+        }
+    }
+}
+
+impl<D: Dialect> Handler for Forward<D> {
+    async fn handle(&self, ex: &Exchange) -> Reply {
+        let answered_by = ex.deadline + LATE_ANSWER;
+        let limit: Tick = answered_by;
+        match tokio::time::timeout_at(self.shared.clock.instant(limit), self.attempts(ex)).await {
+            Ok(reply) => reply,
+            Err(_) => Err(self.failure(ex, SendError::TimedOut)),
+        }
+    }
+}
+
+fn reason(error: &SendError) -> &'static str {
+    match error {
+        SendError::NotSent(_) => "not_sent",
+        SendError::Refused(Refusal::Shed) => "shed",
+        SendError::Refused(Refusal::WrongTarget) => "wrong_target",
+        SendError::Lost(_) => "lost",
+        SendError::TimedOut => "timed_out",
+    }
+}
--- /dev/null
+++ b/ibiscroft-edge/src/filters/identify.rs
@@ -0,0 +1,146 @@
+//! Reads a caller's request and finds its route and service.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http::header::{self, HeaderMap, HeaderName};
+use http::uri::Uri;
+use ibiscroft_core::Tick;
+use ibiscroft_core::fleet::Configuration;
+use ibiscroft_core::ids::RequestId;
+use poem::Request;
+
+use crate::dialect::Dialect;
+use crate::exchange::Exchange;
+use crate::reply::{Failure, FailureKind};
+use crate::shared::Shared;
+
+/// When a caller may come back to a daemon that has no configuration yet.
+const RETRY_NOT_READY: Duration = Duration::from_millis(200);
+/// Longest time for a request body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Header fields that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Reads the whole request and chooses its route and service.
+///
+/// # Errors
+///
+/// Returns why the request is refused; nothing of it was sent on.
+pub(crate) async fn identify<D: Dialect>(
+    req: &mut Request,
+    shared: &Shared,
+    received: Tick,
+) -> Result<Exchange, Failure> {
+    let view = shared.view.load_full();
+    let Some(configuration) = view.configuration() else {
+        let detail = "no configuration is known yet";
+        return Err(Failure::new(FailureKind::NotReady, detail).retry_after(RETRY_NOT_READY));
+    };
+    let facts = D::request(req.headers())
+        .map_err(|reason| Failure::new(FailureKind::BadRequest, reason))?;
+    let host = host(req.original_uri(), req.headers()).to_string();
+    let path = req.original_uri().path();
+    let Some(route) = configuration.route(&host, path).cloned() else {
+        let detail = format!("host {host:?}, path {path:?}, version {}", configuration.version);
+        return Err(Failure::new(FailureKind::NoRoute, detail));
+    };
+    let service = shared.local().split.next(&route, rand::random());
+    let Some(service) = service else {
+        let detail = format!("route {} names no service", route.name);
+        return Err(Failure::new(FailureKind::NoTarget, detail));
+    };
+    let policy = configuration.services.get(&service);
+    let health_path = policy.map_or_else(|| "/".to_string(), |found| found.health_path.clone());
+    let patience = facts.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+    let path_and_query = req.original_uri().path_and_query();
+    let path_and_query = path_and_query.map_or_else(|| "/".to_string(), ToString::to_string);
+    let method = req.method().clone();
+    let body = read_body(req, configuration).await?;
+    let mut headers = std::mem::take(req.headers_mut());
+    remove_hop_by_hop(&mut headers);
+    Ok(Exchange {
+        request_id: facts.request_id.unwrap_or_else(|| RequestId::new("-")),
+        received,
+        deadline: received + patience,
+        method,
+        path_and_query,
+        headers,
+        body,
+        route,
+        version: configuration.version,
+        service,
+        health_path,
+    })
+}
+
+/// Removes header fields that concern one connection only, those named by `Connection` included.
+pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+    headers.remove(header::CONTENT_LENGTH);
+}
+
+/// Returns the host that a request names, without its port.
+fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> &'a str {
+    let named = headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    let host = uri.host().or(named).unwrap_or("");
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
+async fn read_body(req: &mut Request, configuration: &Configuration) -> Result<Bytes, Failure> {
+    let limit = configuration.limits.body_bytes;
+    let announced = req.headers().get(header::CONTENT_LENGTH);
+    let announced = announced.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    if announced == Some(0) || (announced.is_none() && !is_chunked(req.headers())) {
+        return Ok(Bytes::new());
+    }
+    if announced.is_some_and(|size| size > limit) {
+        return Err(too_large(limit));
+    }
+    let mut stream = req.take_body().into_bytes_stream();
+    let read = async {
+        let mut buf = Vec::new();
+        while let Some(piece) = stream.next().await {
+            let piece = piece
+                .map_err(|error| Failure::new(FailureKind::BadRequest, format!("body: {error}")))?;
+            if buf.len() + piece.len() > limit {
+                return Err(too_large(limit));
+            }
+            buf.extend_from_slice(&piece);
+        }
+        Ok(buf.into())
+    };
+    tokio::time::timeout(BODY_TIMEOUT, read).await.unwrap_or_else(|_| {
+        let detail = format!("the body took over {} s", BODY_TIMEOUT.as_secs());
+        Err(Failure::new(FailureKind::BadRequest, detail))
+    })
+}
+
+fn is_chunked(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+fn too_large(limit: usize) -> Failure {
+    Failure::new(FailureKind::BodyTooLarge, format!("at most {limit} bytes are accepted"))
+}
--- /dev/null
+++ b/ibiscroft-edge/src/metrics.rs
@@ -0,0 +1,106 @@
+//! Metrics of the process; docs/METRICS.md describes them.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_SECONDS: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0];
+
+/// All metrics of one daemon.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests by outcome.
+    pub(crate) requests: IntCounterVec,
+    /// Failed sends to targets, by reason.
+    pub(crate) send_failures: IntCounterVec,
+    /// Time from a request's head to its answer.
+    pub(crate) latency: Histogram,
+    /// Time spent on the choice of a target.
+    pub(crate) selection: Histogram,
+    /// Health checks sent.
+    pub(crate) probes: IntCounter,
+    /// Connections opened to targets.
+    pub(crate) connections_opened: IntCounter,
+    /// Calls to the store, by kind.
+    pub(crate) store_calls: IntCounterVec,
+    /// Version of the configuration in force.
+    pub(crate) configuration_version: IntGauge,
+    /// Requests in flight.
+    pub(crate) in_flight: IntGauge,
+}
+
+impl Metrics {
+    /// Makes and registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error when a metric is malformed or registered twice.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        Ok(Self {
+            requests: vec(&registry, "edge_requests_total", "Requests by outcome", "outcome")?,
+            send_failures: vec(&registry, "edge_send_failures_total", "Failed sends", "reason")?,
+            latency: histogram(&registry, "edge_request_seconds", "Time to the answer")?,
+            selection: histogram(&registry, "edge_selection_seconds", "Time to choose a target")?,
+            probes: counter(&registry, "edge_probes_total", "Health checks sent")?,
+            connections_opened: counter(
+                &registry,
+                "edge_connections_opened_total",
+                "Connections opened to targets",
+            )?,
+            store_calls: vec(&registry, "edge_store_calls_total", "Calls to the store", "call")?,
+            configuration_version: gauge(
+                &registry,
+                "edge_configuration_version",
+                "Version of the configuration in force",
+            )?,
+            in_flight: gauge(&registry, "edge_requests_in_flight", "Requests in flight")?,
+            registry,
+        })
+    }
+
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error when a metric cannot be written.
+    pub(crate) fn text(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(buf)
+    }
+}
+
+fn vec(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+) -> Result<IntCounterVec, prometheus::Error> {
+    let found = IntCounterVec::new(Opts::new(name, help), &[label])?;
+    registry.register(Box::new(found.clone()))?;
+    Ok(found)
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+    let found = IntCounter::new(name, help)?;
+    registry.register(Box::new(found.clone()))?;
+    Ok(found)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+    let found = IntGauge::new(name, help)?;
+    registry.register(Box::new(found.clone()))?;
+    Ok(found)
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str) -> Result<Histogram, prometheus::Error> {
+    let opts = HistogramOpts::new(name, help).buckets(LATENCY_SECONDS.to_vec());
+    let found = Histogram::with_opts(opts)?;
+    registry.register(Box::new(found.clone()))?;
+    Ok(found)
+}
--- /dev/null
+++ b/ibiscroft-edge/src/shared.rs
@@ -0,0 +1,142 @@
+//! What the control thread and the traffic thread share.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use ibiscroft_core::Tick;
+use ibiscroft_core::budget::TokenBucket;
+use ibiscroft_core::fleet::{ColdShares, Health, RetryTerms, RetryWindow, Split, Verdict, View};
+use ibiscroft_core::ids::{PerSecond, ServiceName, TargetName};
+
+use crate::clock::Clock;
+use crate::link_pool::LinkPool;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+
+/// Part of the fleet's health checks that is used; the rest covers uneven traffic.
+const PROBE_SAFETY: f64 = 0.9;
+/// Seconds' worth of health checks that may be sent at once.
+const PROBE_BURST_S: f64 = 2.0;
+/// Weight of the newest answer in a service's usual time.
+const NEWEST: f64 = 0.1;
+
+/// Handles of one daemon.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    /// Settings.
+    pub(crate) settings: Settings,
+    /// Monotonic clock.
+    pub(crate) clock: Clock,
+    /// What the control thread believes.
+    pub(crate) view: ArcSwap<View>,
+    /// Metrics.
+    pub(crate) metrics: Metrics,
+    /// Idle connections to targets.
+    pub(crate) pool: LinkPool,
+    /// Set once a planned stop began.
+    pub(crate) is_closing: AtomicBool,
+    probes: Mutex<(usize, TokenBucket)>,
+    local: Mutex<Local>,
+}
+
+/// What the traffic thread learned by itself.
+#[derive(Debug, Default)]
+pub(crate) struct Local {
+    /// Distribution of requests over services.
+    pub(crate) split: Split,
+    /// Requests to cold targets.
+    pub(crate) cold: ColdShares,
+    windows: HashMap<ServiceName, RetryWindow>,
+    health: HashMap<TargetName, Health>,
+    usual: HashMap<ServiceName, f64>,
+}
+
+impl Local {
+    /// Returns the health of a target.
+    pub(crate) fn health(&self, target: &TargetName) -> Health {
+        self.health.get(target).copied().unwrap_or_default()
+    }
+
+    /// Notes how a send to a target ended.
+    pub(crate) fn note(&mut self, now: Tick, target: &TargetName, verdict: Verdict) {
+        self.health.entry(target.clone()).or_default().note(now, verdict);
+    }
+
+    /// Returns the window of further sends of a service.
+    pub(crate) fn window(&mut self, service: &ServiceName, terms: RetryTerms) -> &mut RetryWindow {
+        self.windows.entry(service.clone()).or_insert_with(|| RetryWindow::new(terms))
+    }
+
+    /// Notes the time of an answer that was expected to cost `cost` times the usual.
+    pub(crate) fn note_time(&mut self, service: &ServiceName, time: Duration, cost: f64) {
+        let sample = time.as_secs_f64() / cost.max(1.0);
+        let usual = self.usual.entry(service.clone()).or_insert(sample);
+        *usual += (sample - *usual) * NEWEST;
+    }
+
+    /// Returns the usual time of a request of a service, `None` before the first answer.
+    pub(crate) fn usual_time(&self, service: &ServiceName) -> Option<Duration> {
+        self.usual.get(service).map(|seconds| Duration::from_secs_f64(*seconds))
+    }
+}
+
+impl Shared {
+    /// Makes the handles of a daemon that knows nothing yet.
+    pub(crate) fn new(settings: Settings) -> Result<Arc<Self>, prometheus::Error> {
+        Ok(Arc::new(Self {
+            settings,
+            clock: Clock::start(),
+            view: ArcSwap::from_pointee(View::default()),
+            metrics: Metrics::new()?,
+            pool: LinkPool::default(),
+            is_closing: AtomicBool::new(false),
+            probes: Mutex::new((0, TokenBucket::new(PerSecond(0), 0))),
+            local: Mutex::default(),
+        }))
+    }
+
+    /// Locks what the traffic thread learned; never held across a wait.
+    pub(crate) fn local(&self) -> MutexGuard<'_, Local> {
+        self.local.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the terms of the fleet's budget of further sends.
+    pub(crate) fn retry_terms(&self) -> RetryTerms {
+        let budget = self.settings.retry_budget;
+        let window = Duration::from_secs_f64(budget.window_s);
+        RetryTerms { ratio: budget.ratio, floor: budget.floor, window }
+    }
+
+    /// Returns the number of gateways that share the fleet's budgets.
+    pub(crate) fn gateways(&self) -> usize {
+        self.view.load().member_count().max(1)
+    }
+
+    /// Takes a health check from this gateway's part of the fleet's.
+    pub(crate) fn try_probe(&self, now: Tick) -> bool {
+        let view = self.view.load();
+        let targets = view.targets().count();
+        let rate = self.settings.probes_per_s * PROBE_SAFETY * targets as f64
+            / view.member_count().max(1) as f64;
+        let mut probes = self.probes.lock().unwrap_or_else(PoisonError::into_inner);
+        if probes.0 != rate as usize {
+            let burst = (rate * PROBE_BURST_S) as u32;
+            *probes = (rate as usize, TokenBucket::new(PerSecond(rate as u32), burst));
+        }
+        probes.1.try_take(now)
+    }
+
+    /// Returns whether a planned stop began.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.is_closing.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the platform's balancer may send new connections.
+    pub(crate) fn is_ready(&self) -> bool {
+        let view = self.view.load();
+        !self.is_closing() && view.configuration().is_some() && view.targets().next().is_some()
+    }
+}
