perf(edge): one gateway reads the store for the fleet; probes keep their connections

Change: the first gateway of each zone tells the others of its zone over a WebSocket; the first of these reads the store. A gateway whose view is 1.1 s old (1.35 s behind another) reads the store itself. Questions run in tasks of their own and give their connections back.

--- a/ibiscroft-core/src/fleet.rs
+++ b/ibiscroft-core/src/fleet.rs
@@ -19,7 +19,7 @@
 pub use change::{Change, Revision, Update};
 pub use cold_share::{ColdShare, ColdShares};
 pub use configuration::{CallerLimits, Configuration, ServicePolicy};
-pub use feed::{Feed, FeedAction, Source};
+pub use feed::{Feed, Source};
 pub use health::{Health, Verdict};
 pub use probe::{Probing, Report, Step};
 pub use retry_window::{RetryTerms, RetryWindow};
--- a/ibiscroft-core/src/fleet/cold_share.rs
+++ b/ibiscroft-core/src/fleet/cold_share.rs
@@ -47,6 +47,13 @@
 }
 
 impl ColdShares {
+    /// Returns whether the share has room for a request to a cold target.
+    #[must_use]
+    pub fn has_room(&self, now: Tick, target: &TargetName, share: ColdShare) -> bool {
+        let sent = self.sent.get(target).into_iter().flatten();
+        sent.filter(|at| now.since(**at) <= SPAN).count() < share.per_second as usize
+    }
+
     /// Takes a request to a cold target if the share has room.
     pub fn try_send(&mut self, now: Tick, target: &TargetName, share: ColdShare) -> bool {
         let sent = self.sent.entry(target.clone()).or_default();
--- a/ibiscroft-core/src/fleet/feed.rs
+++ b/ibiscroft-core/src/fleet/feed.rs
@@ -1,8 +1,11 @@
 //! Who reads the store for whom.
 //!
-//! The gateways of a zone rank each other alike. The first reads the store and hands changes to
-//! the others; a gateway that hears nothing fresh from those before it reads the store itself.
+//! The gateways rank each other alike. In each zone the first tells the others what changed; the
+//! first of these firsts reads the store and tells them. So a change is read once and crosses to
+//! each zone once. A gateway that hears nothing fresh reads the store itself, and looks for
+//! another source if the store answers.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::target::Member;
@@ -10,35 +13,32 @@
 use crate::ids::{InstanceName, ZoneName};
 use crate::rendezvous;
 
-/// Age of the view at which a gateway reads the store itself.
-const STALE_AFTER: Duration = Duration::from_millis(700);
+/// Key by which the first gateways of the zones are ranked.
+const FLEET: &str = "fleet";
+/// Age of the view at which the first gateway of a zone reads the store itself; above the
+/// longest regular silence of a reader, see the timing of its calls.
+const FIRST_STALE: Duration = Duration::from_millis(1_100);
+/// The same for the others, so that they give their first time to find another source.
+const OTHERS_STALE: Duration = Duration::from_millis(1_350);
 /// Pause before a gateway that failed as a source is asked again.
-const RETRY_SOURCE: Duration = Duration::from_secs(2);
+const RETRY_SOURCE: Duration = Duration::from_secs(5);
 
 /// Where a gateway gets its changes from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
     /// It reads the store.
     Store,
-    /// Another gateway of its zone tells it.
+    /// Another gateway tells it.
     Peer(Member),
 }
 
-/// What to do next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FeedAction {
-    /// Nothing: changes arrive.
-    Keep,
-    /// Read the store now, because no peer tells anything fresh.
-    ReadStore,
-}
-
 /// Choice of the source of one gateway.
 #[derive(Clone, Debug)]
 pub struct Feed {
     own: InstanceName,
     zone: ZoneName,
     fresh_at: Tick,
+    stale_after: Duration,
     failed: Vec<(InstanceName, Tick)>,
 }
 
@@ -46,29 +46,39 @@
     /// Makes the choice for the gateway `own` in `zone`.
     #[must_use]
     pub fn new(own: InstanceName, zone: ZoneName) -> Self {
-        Self { own, zone, fresh_at: Tick::ZERO, failed: Vec::new() }
+        Self { own, zone, fresh_at: Tick::ZERO, stale_after: FIRST_STALE, failed: Vec::new() }
     }
 
-    /// Returns the source to use: the first gateway of the zone that did not fail lately.
+    /// Returns the source to use among the gateways that did not fail lately.
     pub fn source<'a>(&mut self, now: Tick, members: impl Iterator<Item = &'a Member>) -> Source {
         self.failed.retain(|(_, at)| now.since(*at) < RETRY_SOURCE);
-        let failed = |name: &InstanceName| self.failed.iter().any(|(found, _)| found == name);
-        let key = self.zone.as_str();
-        let first = members
-            .filter(|member| member.zone == self.zone && !failed(&member.name))
-            .max_by_key(|member| rendezvous::weight(key, member.name.as_str()));
+        let mut firsts: BTreeMap<&ZoneName, &Member> = BTreeMap::new();
+        for member in members {
+            if self.failed.iter().any(|(failed, _)| *failed == member.name) {
+                continue;
+            }
+            let first = firsts.entry(&member.zone).or_insert(member);
+            if rank(member.zone.as_str(), member) > rank(member.zone.as_str(), first) {
+                *first = member;
+            }
+        }
+        let own_first = firsts.get(&self.zone).filter(|first| first.name != self.own);
+        self.stale_after = if own_first.is_some() { OTHERS_STALE } else { FIRST_STALE };
+        let first = own_first
+            .copied()
+            .or_else(|| firsts.values().copied().max_by_key(|member| rank(FLEET, member)));
         match first {
             Some(member) if member.name != self.own => Source::Peer(member.clone()),
             _ => Source::Store,
         }
     }
 
-    /// Notes that the view was known to be `age` old at `now`.
+    /// Notes that the view is known to be `age` old at `now`.
     pub fn note_fresh(&mut self, now: Tick, age: Duration) {
         self.fresh_at = self.fresh_at.max(now.before(age));
     }
 
-    /// Notes that a peer could not be reached or told nothing fresh.
+    /// Notes that a peer could not be reached, or told nothing fresh while the store answers.
     pub fn note_failed(&mut self, now: Tick, peer: &InstanceName) {
         self.failed.push((peer.clone(), now));
     }
@@ -79,9 +89,13 @@
         now.since(self.fresh_at)
     }
 
-    /// Returns whether a gateway that is told by a peer must read the store itself.
+    /// Returns when the view will be so old that this gateway reads the store itself.
     #[must_use]
-    pub fn action(&self, now: Tick) -> FeedAction {
-        if self.age(now) > STALE_AFTER { FeedAction::ReadStore } else { FeedAction::Keep }
+    pub fn stale_at(&self) -> Tick {
+        self.fresh_at + self.stale_after
     }
 }
+
+fn rank<'a>(key: &str, member: &'a Member) -> (u64, &'a InstanceName) {
+    (rendezvous::weight(key, member.name.as_str()), &member.name)
+}
--- a/ibiscroft-edge/src/daemon.rs
+++ b/ibiscroft-edge/src/daemon.rs
@@ -1,8 +1,8 @@
 //! Starts a daemon and stops it gracefully.
 
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -10,13 +10,16 @@
 use poem::Server;
 use poem::listener::TcpAcceptor;
 use tokio::net::TcpListener;
+use tokio::sync::broadcast;
 
 use crate::dialect::Dialect;
 use crate::events::event;
-use crate::feeder::{Feeder, keep_registered};
+use crate::feeder::Feeder;
 use crate::filters::account::Account;
 use crate::filters::forward::Forward;
-use crate::registry::{Lease, Registry};
+use crate::membership::Membership;
+use crate::mesh::{self, FOLLOWER_QUEUE};
+use crate::registry::Registry;
 use crate::server::CallerEndpoint;
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -28,8 +31,6 @@
 const NOTICE_PART: f64 = 0.45;
 /// Part of the stop's grace after the notice in which requests in flight may end.
 const DRAIN_PART: f64 = 0.45;
-/// Longest wait for the store at the end of the process.
-const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval in which idle connections to targets are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -44,27 +45,28 @@
     registry: R,
 ) -> eyre::Result<()> {
     let shared = Shared::new(settings).wrap_err("metrics")?;
-    let lease = Arc::new(Mutex::new(None));
-    start_control(Arc::clone(&shared), registry.clone(), Arc::clone(&lease))?;
+    let membership = Membership::new(Arc::clone(&shared), registry.clone());
+    start_control(Arc::clone(&shared), registry, membership.clone())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve::<D, R>(shared, settings_file, registry, lease))
+    runtime.block_on(serve::<D, R>(shared, settings_file, membership))
 }
 
 /// Starts the thread that owns what the daemon believes.
 fn start_control<R: Registry>(
     shared: Arc<Shared>,
     registry: R,
-    lease: Arc<Mutex<Option<Lease>>>,
+    membership: Membership<R>,
 ) -> eyre::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let listener = runtime.block_on(bind(shared.settings.mesh_listen))?;
+    let (followers, _) = broadcast::channel(FOLLOWER_QUEUE);
+    let feeder = Feeder::new(Arc::clone(&shared), registry, followers.clone());
+    let control = async move {
+        tokio::join!(feeder.run(), membership.keep(), mesh::serve(shared, listener, followers));
+    };
     std::thread::Builder::new()
         .name("control".to_string())
-        .spawn(move || {
-            runtime.block_on(async {
-                let feeder = Feeder::new(Arc::clone(&shared), registry.clone());
-                tokio::join!(feeder.run(), keep_registered(shared, registry, lease));
-            });
-        })
+        .spawn(move || runtime.block_on(control))
         .wrap_err("thread for control")?;
     Ok(())
 }
@@ -72,8 +74,7 @@
 async fn serve<D: Dialect, R: Registry>(
     shared: Arc<Shared>,
     settings_file: PathBuf,
-    registry: R,
-    lease: Arc<Mutex<Option<Lease>>>,
+    membership: Membership<R>,
 ) -> eyre::Result<()> {
     let settings = &shared.settings;
     let callers = bind(settings.caller_listen).await?;
@@ -87,31 +88,29 @@
     let chain = Account::new(Arc::clone(&shared), Forward::<D>::new(Arc::clone(&shared)));
     let endpoint = CallerEndpoint::<D, _>::new(Arc::clone(&shared), chain, connections);
     let grace = Duration::from_secs_f64(settings.stop_grace_s);
-    let stop = stopped(Arc::clone(&shared), settings_file, Signals::new()?);
+    let stop = stopped(Arc::clone(&shared), settings_file, membership, Signals::new()?);
     Server::new_with_acceptor(acceptor)
         .run_with_graceful_shutdown(endpoint, stop, Some(grace.mul_f64(DRAIN_PART)))
         .await
         .wrap_err("server for callers")?;
-    let lease = *lease.lock().unwrap_or_else(PoisonError::into_inner);
-    if let Some(lease) = lease
-        && let Err(error) = tokio::time::timeout(LEAVE_TIMEOUT, registry.leave(lease)).await
-    {
-        event!(RegistrationFailed, "lease={lease} reason=\"not ended: {error}\"");
-    }
     event!(Stopped, "in_flight={}", shared.metrics.in_flight.get());
-    log::logger().flush();
     Ok(())
 }
 
 /// Waits until a planned stop may end the acceptance of connections.
-async fn stopped(shared: Arc<Shared>, settings_file: PathBuf, mut signals: Signals) {
+async fn stopped<R: Registry>(
+    shared: Arc<Shared>,
+    settings_file: PathBuf,
+    membership: Membership<R>,
+    mut signals: Signals,
+) {
     while signals.next().await == Asked::Reload {
         reload(&shared, &settings_file);
     }
     shared.is_closing.store(true, Ordering::Relaxed);
     event!(StopRequested, "in_flight={}", shared.metrics.in_flight.get());
     let grace = Duration::from_secs_f64(shared.settings.stop_grace_s);
-    tokio::time::sleep(grace.mul_f64(NOTICE_PART)).await;
+    tokio::join!(tokio::time::sleep(grace.mul_f64(NOTICE_PART)), membership.leave());
 }
 
 /// Reads the settings again; a faulty file changes nothing.
--- /dev/null
+++ b/ibiscroft-edge/src/feeder/store_reader.rs
@@ -0,0 +1,99 @@
+//! Reads the store at a bounded rate.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ibiscroft_core::fleet::{Revision, Update};
+use rand::Rng;
+
+use crate::events::event;
+use crate::registry::{Registry, RegistryError};
+use crate::shared::Shared;
+
+/// Longest wait of one call for changes; with `GATHER` it bounds a reader's regular silence.
+const WATCH: Duration = Duration::from_millis(250);
+/// Time in which changes gather before the store is asked again: a quarter of the time in which
+/// a leaving target must be left alone.
+const GATHER: Duration = Duration::from_millis(500);
+/// Pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause after failed calls; half of the time in which lapsed entries come back.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// What one call brought.
+#[derive(Debug)]
+pub(super) struct Read {
+    /// Changes, or everything.
+    pub(super) update: Option<Update>,
+    /// Whether the store answers again after it did not.
+    pub(super) is_back: bool,
+}
+
+/// Reads the store for one gateway.
+#[derive(Debug)]
+pub(super) struct StoreReader<R> {
+    shared: Arc<Shared>,
+    registry: R,
+    is_current: bool,
+    is_lost: bool,
+    pause: Duration,
+}
+
+impl<R: Registry> StoreReader<R> {
+    /// Makes a reader that has read nothing.
+    pub(super) fn new(shared: Arc<Shared>, registry: R) -> Self {
+        Self { shared, registry, is_current: false, is_lost: false, pause: Duration::ZERO }
+    }
+
+    /// Reads the changes after `revision`, or everything if they are not known to be kept.
+    pub(super) async fn read(&mut self, revision: Revision) -> Read {
+        let read = if self.is_current && revision > Revision(0) {
+            self.count("watch");
+            self.registry.changes(revision, WATCH).await
+        } else {
+            self.count("list");
+            self.registry.list().await
+        };
+        match read {
+            Ok(update) => {
+                self.is_current = true;
+                self.pause = Duration::ZERO;
+                let is_back = std::mem::take(&mut self.is_lost);
+                if is_back {
+                    event!(StoreBack, "revision={}", update.revision);
+                }
+                Read { update: Some(update), is_back }
+            }
+            Err(error) => {
+                self.on_error(&error, revision);
+                Read { update: None, is_back: false }
+            }
+        }
+    }
+
+    /// Waits until the store may be asked again.
+    pub(super) async fn gather(&self) {
+        tokio::time::sleep(if self.is_lost { self.pause() } else { GATHER }).await;
+    }
+
+    /// Returns the pause before another call after a failed one, zero after none.
+    pub(super) fn pause(&self) -> Duration {
+        self.pause.mul_f64(rand::rng().random_range(0.75..1.25))
+    }
+
+    fn on_error(&mut self, error: &RegistryError, revision: Revision) {
+        if *error == RegistryError::HistoryLost {
+            self.is_current = false;
+            event!(HistoryLost, "revision={revision}");
+            return;
+        }
+        self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
+        if !std::mem::replace(&mut self.is_lost, true) {
+            event!(StoreLost, "revision={revision} reason={:?}", error.to_string());
+        }
+    }
+
+    fn count(&self, call: &str) {
+        self.shared.metrics.store_calls.with_label_values(&[call]).inc();
+    }
+}
--- a/ibiscroft-edge/src/filters/select.rs
+++ b/ibiscroft-edge/src/filters/select.rs
@@ -4,13 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use http::{HeaderMap, HeaderValue, Method, header};
 use http_body_util::BodyExt;
 use ibiscroft_core::fleet::{ColdShare, Probing, Repeatable, Report, Step, Target, Verdict, View};
 use ibiscroft_core::ids::TargetName;
 use rand::seq::SliceRandom;
+use tokio::sync::mpsc;
 
 use crate::dialect::{Dialect, HealthFacts};
 use crate::events::event;
@@ -61,7 +60,7 @@
 
 /// Chooses the target for a request.
 pub(super) async fn select<D: Dialect>(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     ex: &Exchange,
     tried: &[TargetName],
 ) -> Result<Chosen, NoneChosen> {
@@ -111,12 +110,12 @@
     /// Asks targets until one is good or all have answered.
     async fn ask<D: Dialect>(
         &mut self,
-        shared: &Shared,
-        view: &Arc<View>,
+        shared: &Arc<Shared>,
+        view: &View,
         ex: &Exchange,
         mut targets: Vec<Target>,
     ) {
-        let mut waiting = FuturesUnordered::new();
+        let (tx, mut waiting) = mpsc::unbounded_channel();
         while let Some(target) = targets.pop() {
             if !shared.try_probe(shared.clock.now()) && !self.targets.is_empty() {
                 break;
@@ -125,15 +124,29 @@
             self.targets.push(target.clone());
             self.links.push(None);
             self.probing.ask();
-            waiting.push(ask_one::<D>(shared, index, target, &ex.health_path));
+            let question = Question {
+                shared: Arc::clone(shared),
+                index,
+                target,
+                health_path: ex.health_path.clone(),
+                tx: tx.clone(),
+            };
+            tokio::spawn(question.ask::<D>());
         }
-        while let Some(Asked { index, result }) = waiting.next().await {
+        drop(tx);
+        while let Some(Asked { index, result }) = waiting.recv().await {
             let step = match result {
                 Ok((link, report)) => self.note(shared, view, ex, index, link, report),
                 Err(_) => self.probing.on_failure(),
             };
             if matches!(step, Step::Send(_)) {
-                return;
+                break;
+            }
+        }
+        waiting.close();
+        while let Ok(Asked { index, result }) = waiting.try_recv() {
+            if let Ok((link, _)) = result {
+                shared.pool.put(&self.targets[index].name, link);
             }
         }
     }
@@ -155,10 +168,10 @@
             (true, Repeatable::Download) => LARGE_CROSSING_COST,
             (true, _) => CROSSING_COST,
         };
-        let mut local = shared.local();
+        let local = shared.local();
         let failure_rate = local.health(&target.name).failure_rate(now);
         let may_send = report.cold_left.is_zero()
-            || local.cold.try_send(now, &target.name, cold_share(shared, view, target));
+            || local.cold.has_room(now, &target.name, cold_share(shared, view, target));
         drop(local);
         self.links[index] = Some((link, report));
         if !may_send {
@@ -182,10 +195,21 @@
                 _ => shared.pool.put(&target.name, link),
             }
         }
-        chosen.filter(|chosen| view.may_use(&chosen.target))
+        let chosen = chosen.filter(|chosen| may_use(shared, &chosen.target))?;
+        let Chosen { target, report, .. } = &chosen;
+        let now = shared.clock.now();
+        let may_send = report.cold_left.is_zero()
+            || shared.local().cold.try_send(now, &target.name, cold_share(shared, view, target));
+        may_send.then_some(chosen)
     }
 }
 
+/// Returns whether the newest view still allows a send to a target.
+fn may_use(shared: &Shared, target: &Target) -> bool {
+    let view = shared.view.load();
+    view.target(&target.name).is_some_and(|newest| view.may_use(newest))
+}
+
 /// Returns this gateway's part of what a cold target bears.
 fn cold_share(shared: &Shared, view: &View, target: &Target) -> ColdShare {
     let services = view.configuration().map(|found| &found.services);
@@ -195,29 +219,37 @@
     ColdShare::of(rate, &target.name, &shared.settings.instance, names.into_iter())
 }
 
-async fn ask_one<D: Dialect>(
-    shared: &Shared,
+/// One question to a target; it goes on when the request needs no more answers, so that its
+/// connection stays in use.
+struct Question {
+    shared: Arc<Shared>,
     index: usize,
     target: Target,
-    health_path: &str,
-) -> Asked {
-    let question = question::<D>(shared, &target, health_path);
-    let result = match tokio::time::timeout(ASK_TIMEOUT, question).await {
-        Ok(result) => result,
-        Err(_) => Err(format!("no answer within {} ms", ASK_TIMEOUT.as_millis())),
-    };
-    if let Err(reason) = &result {
-        let now = shared.clock.now();
-        shared.local().note(now, &target.name, Verdict::Unreachable);
-        shared.metrics.send_failures.with_label_values(&["probe"]).inc();
-        event!(
-            TargetUnreachable,
-            "target={} address={} reason={reason:?}",
-            target.name,
-            target.address
-        );
+    health_path: String,
+    tx: mpsc::UnboundedSender<Asked>,
+}
+
+impl Question {
+    async fn ask<D: Dialect>(self) {
+        let Self { shared, index, target, health_path, tx } = self;
+        let question = question::<D>(&shared, &target, &health_path);
+        let result = match tokio::time::timeout(ASK_TIMEOUT, question).await {
+            Ok(result) => result,
+            Err(_) => Err(format!("no answer within {} ms", ASK_TIMEOUT.as_millis())),
+        };
+        if let Err(reason) = &result {
+            let now = shared.clock.now();
+            shared.local().note(now, &target.name, Verdict::Unreachable);
+            shared.metrics.send_failures.with_label_values(&["probe"]).inc();
+            let Target { name, address, .. } = &target;
+            event!(TargetUnreachable, "target={name} address={address} reason={reason:?}");
+        }
+        if let Err(unheard) = tx.send(Asked { index, result })
+            && let Ok((link, _)) = unheard.0.result
+        {
+            shared.pool.put(&target.name, link);
+        }
     }
-    Asked { index, result }
 }
 
 /// Asks a target for its load; an idle connection that turns out to be closed is replaced once.
--- a/ibiscroft-edge/src/lib.rs
+++ b/ibiscroft-edge/src/lib.rs
@@ -13,6 +13,8 @@
 mod link;
 mod link_pool;
 mod log_sink;
+mod membership;
+mod mesh;
 mod metrics;
 mod registry;
 mod reply;
