perf(edge): strong gateways hand on the view, targets are asked in subsets and rounds

Gateways now state their strength and the strongest rank first; followers say where they stand and get only what they lack. - A reader's age counted the wait of its watch, so a pause of 1.01 s met a limit of 1.1 s. - Each start read two listings; the first may now be a stale one at a tenth of the price. - With a zone's targets dead, six near ones were asked and the request was refused. Further rounds now ask other zones as well. - 25 ms of silence counted as unreachable; on links of 10 Mbit/s that was the gateway's own queue. Further targets are asked after 25 ms, silence counts after 150 ms.

Ruled out: a longer gather time; the calls came from gateways that fell back, not from readers.

--- a/ibiscroft-core/src/fleet.rs
+++ b/ibiscroft-core/src/fleet.rs
@@ -25,5 +25,5 @@
 pub use retry_window::{RetryTerms, RetryWindow};
 pub use route::{Repeatable, Route, Share};
 pub use split::Split;
-pub use target::{Born, Member, Target, TargetState};
+pub use target::{Born, Member, Strength, Target, TargetState};
 pub use view::View;
--- a/ibiscroft-core/src/fleet/feed.rs
+++ b/ibiscroft-core/src/fleet/feed.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::target::Member;
+use super::target::{Member, Strength};
 use crate::Tick;
 use crate::ids::{InstanceName, ZoneName};
 use crate::rendezvous;
@@ -20,8 +20,10 @@
 const FIRST_STALE: Duration = Duration::from_millis(1_100);
 /// The same for the others, so that they give their first time to find another source.
 const OTHERS_STALE: Duration = Duration::from_millis(1_350);
-/// Pause before a gateway that failed as a source is asked again.
-const RETRY_SOURCE: Duration = Duration::from_secs(5);
+/// Pause before a gateway that failed as a source is asked again; doubled at each failure.
+const RETRY_SOURCE: Duration = Duration::from_secs(4);
+/// Longest such pause.
+const LONGEST_RETRY: Duration = Duration::from_secs(32);
 
 /// Where a gateway gets its changes from.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,22 +41,30 @@
     zone: ZoneName,
     fresh_at: Tick,
     stale_after: Duration,
-    failed: Vec<(InstanceName, Tick)>,
+    failed: BTreeMap<InstanceName, Failed>,
+}
+
+/// A gateway that failed as a source.
+#[derive(Clone, Copy, Debug)]
+struct Failed {
+    at: Tick,
+    pause: Duration,
 }
 
 impl Feed {
     /// Makes the choice for the gateway `own` in `zone`.
     #[must_use]
     pub fn new(own: InstanceName, zone: ZoneName) -> Self {
-        Self { own, zone, fresh_at: Tick::ZERO, stale_after: FIRST_STALE, failed: Vec::new() }
+        Self { own, zone, fresh_at: Tick::ZERO, stale_after: FIRST_STALE, failed: BTreeMap::new() }
     }
 
     /// Returns the source to use among the gateways that did not fail lately.
     pub fn source<'a>(&mut self, now: Tick, members: impl Iterator<Item = &'a Member>) -> Source {
-        self.failed.retain(|(_, at)| now.since(*at) < RETRY_SOURCE);
+        self.failed.retain(|_, failed| now.since(failed.at) < failed.pause * 2);
         let mut firsts: BTreeMap<&ZoneName, &Member> = BTreeMap::new();
         for member in members {
-            if self.failed.iter().any(|(failed, _)| *failed == member.name) {
+            let failed = self.failed.get(&member.name);
+            if failed.is_some_and(|failed| now.since(failed.at) < failed.pause) {
                 continue;
             }
             let first = firsts.entry(&member.zone).or_insert(member);
@@ -80,7 +90,9 @@
 
     /// Notes that a peer could not be reached, or told nothing fresh while the store answers.
     pub fn note_failed(&mut self, now: Tick, peer: &InstanceName) {
-        self.failed.push((peer.clone(), now));
+        let known = self.failed.get(peer);
+        let pause = known.map_or(RETRY_SOURCE, |failed| (failed.pause * 2).min(LONGEST_RETRY));
+        self.failed.insert(peer.clone(), Failed { at: now, pause });
     }
 
     /// Returns the age of the view.
@@ -96,6 +108,7 @@
     }
 }
 
-fn rank<'a>(key: &str, member: &'a Member) -> (u64, &'a InstanceName) {
-    (rendezvous::weight(key, member.name.as_str()), &member.name)
+/// Returns the rank of a gateway; the highest is the first.
+fn rank<'a>(key: &str, member: &'a Member) -> (Strength, u64, &'a InstanceName) {
+    (member.strength, rendezvous::weight(key, member.name.as_str()), &member.name)
 }
--- a/ibiscroft-core/src/fleet/target.rs
+++ b/ibiscroft-core/src/fleet/target.rs
@@ -13,6 +13,11 @@
     Born(u64)
 );
 
+number_newtype!(
+    /// What an instance can bear, in thousandths of a core times Mbit/s.
+    Strength(u64)
+);
+
 copy_data! {
     /// Whether a target takes new requests.
     #[derive(Serialize, Deserialize)]
@@ -57,6 +62,8 @@
         pub zone: ZoneName,
         /// Where other gateways reach it.
         pub address: SocketAddr,
+        /// What it can bear beside its callers: larger for more processor and bandwidth.
+        pub strength: Strength,
     }
 }
 
--- a/ibiscroft-edge/src/daemon.rs
+++ b/ibiscroft-edge/src/daemon.rs
@@ -10,15 +10,15 @@
 use poem::Server;
 use poem::listener::TcpAcceptor;
 use tokio::net::TcpListener;
-use tokio::sync::broadcast;
 
 use crate::dialect::Dialect;
 use crate::events::event;
+use crate::feed_hub::FeedHub;
 use crate::feeder::Feeder;
 use crate::filters::account::Account;
 use crate::filters::forward::Forward;
 use crate::membership::Membership;
-use crate::mesh::{self, FOLLOWER_QUEUE};
+use crate::mesh;
 use crate::registry::Registry;
 use crate::server::CallerEndpoint;
 use crate::settings::Settings;
@@ -59,10 +59,10 @@
 ) -> eyre::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let listener = runtime.block_on(bind(shared.settings.mesh_listen))?;
-    let (followers, _) = broadcast::channel(FOLLOWER_QUEUE);
-    let feeder = Feeder::new(Arc::clone(&shared), registry, followers.clone());
+    let hub = FeedHub::new();
+    let feeder = Feeder::new(Arc::clone(&shared), registry, hub.clone());
     let control = async move {
-        tokio::join!(feeder.run(), membership.keep(), mesh::serve(shared, listener, followers));
+        tokio::join!(feeder.run(), membership.keep(), mesh::serve(shared, listener, hub));
     };
     std::thread::Builder::new()
         .name("control".to_string())
--- /dev/null
+++ b/ibiscroft-edge/src/feed_hub.rs
@@ -0,0 +1,126 @@
+//! Recent updates, for gateways that follow this one.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ibiscroft_core::Tick;
+use ibiscroft_core::fleet::{Revision, Update, View};
+use tokio::sync::broadcast;
+
+/// Updates that may wait for one follower before it is served anew.
+const FOLLOWER_QUEUE: usize = 64;
+/// Updates kept for followers that come or come back; at two a second half a minute of changes.
+const KEPT_UPDATES: usize = 64;
+
+/// Age stated for a view whose age the sender does not know; any view is stale long before.
+const UNKNOWN_AGE: Duration = Duration::from_secs(3_600);
+
+/// An update on its way to followers, encoded once for all of them.
+#[derive(Clone, Debug)]
+pub(crate) struct FeedMessage {
+    /// The update; its age is that at `made_at`.
+    pub(crate) update: Arc<Update>,
+    /// The update without its age, in CBOR.
+    pub(crate) encoded: Arc<Vec<u8>>,
+    /// When the update was made.
+    pub(crate) made_at: Tick,
+}
+
+impl FeedMessage {
+    /// Makes a message at `now`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the update cannot be encoded.
+    pub(crate) fn new(update: Update, now: Tick) -> eyre::Result<Self> {
+        let mut encoded = Vec::new();
+        ciborium::into_writer(&update, &mut encoded)?;
+        Ok(Self { update: Arc::new(update), encoded: Arc::new(encoded), made_at: now })
+    }
+}
+
+#[derive(Debug, Default)]
+struct History {
+    /// Revision after which each change is kept.
+    complete_after: Revision,
+    /// Updates with changes, the oldest first.
+    updates: VecDeque<FeedMessage>,
+}
+
+/// All that a view holds, as a message.
+#[derive(Debug)]
+struct Everything {
+    view: Arc<View>,
+    message: FeedMessage,
+}
+
+/// Hands updates to followers.
+#[derive(Clone, Debug)]
+pub(crate) struct FeedHub {
+    tx: broadcast::Sender<FeedMessage>,
+    history: Arc<Mutex<History>>,
+    everything: Arc<Mutex<Option<Everything>>>,
+}
+
+impl FeedHub {
+    /// Makes a hub without history.
+    pub(crate) fn new() -> Self {
+        let (tx, _) = broadcast::channel(FOLLOWER_QUEUE);
+        Self { tx, history: Arc::default(), everything: Arc::default() }
+    }
+
+    /// Hands on an update that followed one at revision `before`.
+    pub(crate) fn send(&self, before: Revision, message: FeedMessage) {
+        let mut history = self.history();
+        if !message.update.changes.is_empty() {
+            if history.updates.is_empty() {
+                history.complete_after = before;
+            }
+            history.updates.push_back(message.clone());
+        }
+        if history.updates.len() > KEPT_UPDATES
+            && let Some(oldest) = history.updates.pop_front()
+        {
+            history.complete_after = oldest.update.revision;
+        }
+        drop(history);
+        // Without a follower there is nobody to tell.
+        let _ = self.tx.send(message);
+    }
+
+    /// Returns the updates after `revision`, `None` if not all of them are kept, and those to come.
+    pub(crate) fn subscribe(
+        &self,
+        revision: Revision,
+    ) -> (Option<Vec<FeedMessage>>, broadcast::Receiver<FeedMessage>) {
+        let history = self.history();
+        let rx = self.tx.subscribe();
+        if history.updates.is_empty() || revision < history.complete_after {
+            return (None, rx);
+        }
+        let missed = history.updates.iter().filter(|kept| kept.update.revision > revision);
+        (Some(missed.cloned().collect()), rx)
+    }
+
+    /// Returns a message with all that a view holds; it is encoded once for each view.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the view cannot be encoded.
+    pub(crate) fn everything(&self, view: Arc<View>, now: Tick) -> eyre::Result<FeedMessage> {
+        let mut cached = self.everything.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(found) = &*cached
+            && Arc::ptr_eq(&found.view, &view)
+        {
+            return Ok(found.message.clone());
+        }
+        let message = FeedMessage::new(view.full(UNKNOWN_AGE), now)?;
+        *cached = Some(Everything { view, message: message.clone() });
+        Ok(message)
+    }
+
+    fn history(&self) -> MutexGuard<'_, History> {
+        self.history.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -3,21 +3,25 @@
 mod store_reader;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::StreamExt;
-use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::{Change, Feed, Member, Source, Update, View};
-use tokio::sync::broadcast;
+use ibiscroft_core::fleet::{Change, Feed, Member, Revision, Source, Update, View};
 
 use crate::events::event;
-use crate::mesh::{self, FeedMessage};
+use crate::feed_hub::{FeedHub, FeedMessage};
+use crate::mesh;
 use crate::registry::Registry;
 use crate::shared::Shared;
 use store_reader::StoreReader;
 
 /// Longest time to open a connection to another gateway and to get its view.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Age from which an update does not make the view fresh.
+const WORTHLESS_AGE: Duration = Duration::from_secs(60);
+/// Changes of one update that are logged one by one; the others are counted.
+const MAX_LOGGED: usize = 60;
 
 /// Why a gateway stopped following another.
 enum Followed {
@@ -34,20 +38,16 @@
     reader: StoreReader<R>,
     feed: Feed,
     view: View,
-    followers: broadcast::Sender<FeedMessage>,
+    hub: FeedHub,
 }
 
 impl<R: Registry> Feeder<R> {
-    /// Makes a feeder that knows nothing and tells `followers` what it hears.
-    pub(crate) fn new(
-        shared: Arc<Shared>,
-        registry: R,
-        followers: broadcast::Sender<FeedMessage>,
-    ) -> Self {
+    /// Makes a feeder that knows nothing and tells `hub` what it hears.
+    pub(crate) fn new(shared: Arc<Shared>, registry: R, hub: FeedHub) -> Self {
         let settings = &shared.settings;
         let feed = Feed::new(settings.instance.clone(), settings.availability_zone.clone());
         let reader = StoreReader::new(Arc::clone(&shared), registry);
-        Self { shared, reader, feed, view: View::default(), followers }
+        Self { shared, reader, feed, view: View::default(), hub }
     }
 
     /// Follows the best source until the runtime ends.
@@ -62,7 +62,7 @@
             match &source {
                 Source::Store => {
                     self.read_store().await;
-                    self.reader.gather().await;
+                    self.reader.gather(self.view.member_count() == 0).await;
                 }
                 Source::Peer(peer) => self.follow_once(peer).await,
             }
@@ -72,25 +72,20 @@
 
     fn source(&mut self) -> Source {
         let now = self.shared.clock.now();
-        if self.view.member_count() == 0 || self.view.configuration().is_none() {
-            return Source::Store;
-        }
         self.feed.source(now, self.view.members())
     }
 
     /// Reads the store once; returns whether it answered.
     async fn read_store(&mut self) -> bool {
-        let began = self.shared.clock.now();
-        let read = self.reader.read(self.view.revision()).await;
-        let now = self.shared.clock.now();
+        let knows_nobody = self.view.member_count() == 0;
+        let read = self.reader.read(self.view.revision(), knows_nobody).await;
         if read.is_back {
-            self.view.note_store_back(now);
+            self.view.note_store_back(self.shared.clock.now());
         }
-        let Some(mut update) = read.update else {
+        let Some(update) = read.update else {
             self.expire();
             return false;
         };
-        update.age = now.since(began);
         self.take(update, "store");
         self.expire();
         true
@@ -107,7 +102,9 @@
     }
 
     async fn follow(&mut self, peer: &Member) -> Followed {
-        let opened = tokio::time::timeout(CONNECT_TIMEOUT, mesh::open(peer.address)).await;
+        let opened =
+            tokio::time::timeout(CONNECT_TIMEOUT, mesh::open(peer.address, self.view.revision()))
+                .await;
         let mut stream = match opened {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Followed::Failed(format!("connect: {error:#}")),
@@ -147,32 +144,29 @@
 
     fn take(&mut self, update: Update, source: &str) {
         let now = self.shared.clock.now();
-        if update.revision >= self.view.revision() {
+        let before = self.view.revision();
+        if update.revision >= before && update.age < WORTHLESS_AGE {
             self.feed.note_fresh(now, update.age);
+            self.shared.is_current.store(true, Ordering::Relaxed);
         }
         let made = self.view.apply(now, update);
-        self.publish(made, source);
+        self.publish(before, made, source);
     }
 
     fn expire(&mut self) {
+        let before = self.view.revision();
         let made = self.view.expire(self.shared.clock.now());
         if !made.is_empty() {
-            self.publish(made, "grace_ended");
+            self.publish(before, made, "grace_ended");
         }
     }
 
     /// Tells the traffic thread and the followers.
-    fn publish(&self, made: Vec<Change>, source: &str) {
+    fn publish(&self, before: Revision, made: Vec<Change>, source: &str) {
+        let now = self.shared.clock.now();
         let revision = self.view.revision();
-        let age = self.feed.age(self.shared.clock.now());
-        for change in &made {
-            let age = age.as_millis();
-            event!(
-                BeliefChanged,
-                "revision={revision} source={source} age_ms={age} {}",
-                describe(change)
-            );
-        }
+        let age = self.feed.age(now);
+        log_changes(revision, &made, source, age);
         if !made.is_empty() {
             let version = i64::try_from(self.view.version().get()).unwrap_or(i64::MAX);
             self.shared.metrics.configuration_version.set(version);
@@ -181,14 +175,28 @@
                 self.shared.local().split.retain(configuration.routes());
             }
         }
-        if self.followers.receiver_count() > 0 {
-            let update = Update { revision, is_full: false, changes: made, age };
-            // Without a receiver there is nobody to tell.
-            let _ = self.followers.send(FeedMessage::new(update, self.shared.clock.now()));
+        let update = Update { revision, is_full: false, changes: made, age };
+        match FeedMessage::new(update, now) {
+            Ok(message) => self.hub.send(before, message),
+            Err(error) => event!(MeshRefused, "reason={:?}", format!("encode: {error:#}")),
         }
     }
 }
 
+/// Logs each change, or their number if there are many, as in the first listing.
+fn log_changes(revision: Revision, made: &[Change], source: &str, age: Duration) {
+    let age = age.as_millis();
+    if made.len() > MAX_LOGGED {
+        let count = made.len();
+        event!(BeliefChanged, "revision={revision} source={source} age_ms={age} changes={count}");
+        return;
+    }
+    for change in made {
+        let change = describe(change);
+        event!(BeliefChanged, "revision={revision} source={source} age_ms={age} {change}");
+    }
+}
+
 fn name(source: &Source) -> &str {
     match source {
         Source::Store => "store",
@@ -224,8 +232,3 @@
         Change::MemberGone(name) => format!("change=gateway_gone gateway={name}"),
     }
 }
-
-/// Returns the age that an update has at `now` if it had `age` at `then`.
-pub(crate) fn aged(age: Duration, then: Tick, now: Tick) -> Duration {
-    age + now.since(then)
-}
--- a/ibiscroft-edge/src/feeder/store_reader.rs
+++ b/ibiscroft-edge/src/feeder/store_reader.rs
@@ -15,6 +15,12 @@
 /// Time in which changes gather before the store is asked again: a quarter of the time in which
 /// a leaving target must be left alone.
 const GATHER: Duration = Duration::from_millis(500);
+/// Listings that may be old, before the others are taken to be away.
+const STALE_READS: u32 = 4;
+/// Pause between such listings: a starting fleet registers itself within it.
+const STALE_PAUSE: Duration = Duration::from_millis(800);
+/// Age given to a listing that may be old.
+const STALE_AGE: Duration = Duration::from_secs(3_600);
 /// Pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls; half of the time in which lapsed entries come back.
@@ -36,26 +42,51 @@
     registry: R,
     is_current: bool,
     is_lost: bool,
+    stale_reads: u32,
     pause: Duration,
 }
 
 impl<R: Registry> StoreReader<R> {
     /// Makes a reader that has read nothing.
     pub(super) fn new(shared: Arc<Shared>, registry: R) -> Self {
-        Self { shared, registry, is_current: false, is_lost: false, pause: Duration::ZERO }
+        Self {
+            shared,
+            registry,
+            is_current: false,
+            is_lost: false,
+            stale_reads: 0,
+            pause: Duration::ZERO,
+        }
     }
 
     /// Reads the changes after `revision`, or everything if they are not known to be kept.
-    pub(super) async fn read(&mut self, revision: Revision) -> Read {
-        let read = if self.is_current && revision > Revision(0) {
+    ///
+    /// A gateway that `knows_nobody` reads a listing that may be old, which is cheap, to find
+    /// another gateway to follow.
+    pub(super) async fn read(&mut self, revision: Revision, knows_nobody: bool) -> Read {
+        let is_stale = knows_nobody && self.stale_reads < STALE_READS;
+        let began = self.shared.clock.now();
+        let read = if is_stale {
+            self.count("stale_list");
+            self.stale_reads += 1;
+            self.registry.list(true).await
+        } else if self.is_current && revision > Revision(0) {
             self.count("watch");
             self.registry.changes(revision, WATCH).await
         } else {
             self.count("list");
-            self.registry.list().await
+            self.registry.list(false).await
         };
         match read {
-            Ok(update) => {
+            Ok(mut update) => {
+                if is_stale {
+                    // Changes since the listing are unknown, so another gateway must tell all.
+                    update.revision = Revision(0);
+                    update.age = STALE_AGE;
+                    return Read { update: Some(update), is_back: false };
+                }
+                // A watch answers at the end of its wait; what goes beyond it is age.
+                update.age = self.shared.clock.now().since(began).saturating_sub(WATCH);
                 self.is_current = true;
                 self.pause = Duration::ZERO;
                 let is_back = std::mem::take(&mut self.is_lost);
@@ -72,8 +103,17 @@
     }
 
     /// Waits until the store may be asked again.
-    pub(super) async fn gather(&self) {
-        tokio::time::sleep(if self.is_lost { self.pause() } else { GATHER }).await;
+    pub(super) async fn gather(&self, knows_nobody: bool) {
+        let pause = if self.is_lost {
+            self.pause()
+        } else if self.is_current {
+            GATHER
+        } else if knows_nobody {
+            STALE_PAUSE
+        } else {
+            Duration::ZERO
+        };
+        tokio::time::sleep(pause).await;
     }
 
     /// Returns the pause before another call after a failed one, zero after none.
@@ -95,5 +135,6 @@
 
     fn count(&self, call: &str) {
         self.shared.metrics.store_calls.with_label_values(&[call]).inc();
+        log::debug!("store call={call}");
     }
 }
--- a/ibiscroft-edge/src/filters/select.rs
+++ b/ibiscroft-edge/src/filters/select.rs
@@ -8,8 +8,10 @@
 use http_body_util::BodyExt;
 use ibiscroft_core::fleet::{ColdShare, Probing, Repeatable, Report, Step, Target, Verdict, View};
 use ibiscroft_core::ids::TargetName;
+use ibiscroft_core::rendezvous;
 use rand::seq::SliceRandom;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::dialect::{Dialect, HealthFacts};
 use crate::events::event;
@@ -19,12 +21,20 @@
 
 /// Targets that are asked at first.
 const ASK: usize = 3;
-/// Further targets that are asked when the first are slow or silent.
-const ASK_AGAIN: usize = 3;
-/// Longest wait for a target's word: a few round trips between zones and a new connection.
-const ASK_TIMEOUT: Duration = Duration::from_millis(25);
-/// Cost above which further targets are asked.
-const SLOW_COST: f64 = 1.9;
+/// Targets of the own zone that are asked in each further round.
+const ASK_NEAR: usize = 2;
+/// Targets of other zones that are asked in each further round.
+const ASK_FAR: usize = 2;
+/// Targets of a service and zone that a gateway asks first.
+const SUBSET: usize = 10;
+/// Wait for answers before further targets are asked: a few round trips between zones and a new
+/// connection.
+const PATIENCE: Duration = Duration::from_millis(25);
+/// Longest wait for a target's answer; longer than a slow link of the gateway's own holds it up.
+const ANSWER_LIMIT: Duration = Duration::from_millis(150);
+/// Cost up to which the best target is taken after each round; the last rounds only look for a
+/// target that can be reached.
+const ACCEPTED_COSTS: [f64; 4] = [1.9, f64::MAX, f64::MAX, f64::MAX];
 /// Cost of the way to another zone, in units of a request's usual time.
 const CROSSING_COST: f64 = 0.4;
 /// The same for large answers, whose bytes hold the link between the zones.
@@ -66,16 +76,19 @@
 ) -> Result<Chosen, NoneChosen> {
     let began = shared.clock.now();
     let view = shared.view.load_full();
-    let mut rest = candidates(shared, &view, ex, tried);
-    let usable = rest.len();
-    let mut round = Round::default();
-    for (ask, limit) in [(ASK, SLOW_COST), (ASK_AGAIN, f64::MAX)] {
-        let asked = rest.split_off(rest.len().saturating_sub(ask));
-        round.ask::<D>(shared, &view, ex, asked).await;
-        if round.probing.best().is_some_and(|(cost, _)| cost <= limit) || rest.is_empty() {
+    let mut candidates = Candidates::new(shared, &view, ex, tried);
+    let usable = candidates.len();
+    let mut round = Round::new();
+    for limit in ACCEPTED_COSTS {
+        let asked = candidates.next_round(round.targets.is_empty());
+        let is_last = asked.is_empty();
+        round.ask::<D>(shared, ex, asked);
+        round.collect(shared, &view, ex, if is_last { ANSWER_LIMIT } else { PATIENCE }).await;
+        if is_last || round.probing.best().is_some_and(|(cost, _)| cost <= limit) {
             break;
         }
     }
+    round.close(shared);
     let took = shared.clock.now().since(began);
     shared.metrics.selection.observe(took.as_secs_f64());
     let asked = round.targets.len();
@@ -83,39 +96,96 @@
     chosen.ok_or(NoneChosen { usable, asked })
 }
 
-/// Returns the usable targets in the order in which they are asked, the first last.
-fn candidates(shared: &Shared, view: &View, ex: &Exchange, tried: &[TargetName]) -> Vec<Target> {
-    let now = shared.clock.now();
-    let own = &shared.settings.availability_zone;
-    let local = shared.local();
-    let mut found: Vec<Target> =
-        view.usable(&ex.service).filter(|target| !tried.contains(&target.name)).cloned().collect();
-    found.shuffle(&mut rand::rng());
-    found.sort_by_key(|target| {
-        let is_paused = local.health(&target.name).is_paused(now);
-        std::cmp::Reverse((is_paused, target.zone != *own))
-    });
-    found
+/// The usable targets of a service, each list with the next to ask at its end.
+struct Candidates {
+    /// Those of the gateway's own zone that answered when last asked.
+    near: Vec<Target>,
+    /// Those of other zones that answered when last asked.
+    far: Vec<Target>,
+    /// Those that could not be reached lately.
+    paused: Vec<Target>,
+}
+
+impl Candidates {
+    fn new(shared: &Shared, view: &View, ex: &Exchange, tried: &[TargetName]) -> Self {
+        let now = shared.clock.now();
+        let own = &shared.settings.availability_zone;
+        let local = shared.local();
+        let mut found = Self { near: Vec::new(), far: Vec::new(), paused: Vec::new() };
+        for target in view.usable(&ex.service) {
+            if tried.contains(&target.name) {
+                continue;
+            }
+            let list = if local.health(&target.name).is_paused(now) {
+                &mut found.paused
+            } else if target.zone == *own {
+                &mut found.near
+            } else {
+                &mut found.far
+            };
+            list.push(target.clone());
+        }
+        drop(local);
+        let instance = shared.settings.instance.as_str();
+        for list in [&mut found.near, &mut found.far, &mut found.paused] {
+            order(list, instance);
+        }
+        found
+    }
+
+    fn len(&self) -> usize {
+        self.near.len() + self.far.len() + self.paused.len()
+    }
+
+    /// Returns the targets to ask next: near ones first, then some of each kind.
+    fn next_round(&mut self, is_first: bool) -> Vec<Target> {
+        let mut round = Vec::new();
+        if is_first {
+            round.extend(take(&mut self.near, ASK));
+            round.extend(take(&mut self.far, ASK - round.len()));
+        } else {
+            round.extend(take(&mut self.near, ASK_NEAR));
+            round.extend(take(&mut self.far, ASK_FAR));
+        }
+        if round.is_empty() {
+            round.extend(take(&mut self.paused, ASK));
+        }
+        round
+    }
+}
+
+fn take(list: &mut Vec<Target>, count: usize) -> Vec<Target> {
+    list.split_off(list.len().saturating_sub(count))
+}
+
+/// Puts the targets of this gateway's subset last, each part in random order.
+///
+/// A gateway that keeps to a subset keeps its connections in use; the subsets of many gateways
+/// cover all targets alike.
+fn order(list: &mut [Target], instance: &str) {
+    list.sort_by_cached_key(|target| rendezvous::weight(instance, target.name.as_str()));
+    let beyond = list.len().saturating_sub(SUBSET);
+    list[..beyond].shuffle(&mut rand::rng());
+    list[beyond..].shuffle(&mut rand::rng());
 }
 
 /// The targets that one request asked, and their answers.
-#[derive(Default)]
 struct Round {
     targets: Vec<Target>,
     links: Vec<Option<(Link, Report)>>,
     probing: Probing,
+    tx: mpsc::UnboundedSender<Asked>,
+    rx: mpsc::UnboundedReceiver<Asked>,
 }
 
 impl Round {
-    /// Asks targets until one is good or all have answered.
-    async fn ask<D: Dialect>(
-        &mut self,
-        shared: &Arc<Shared>,
-        view: &View,
-        ex: &Exchange,
-        mut targets: Vec<Target>,
-    ) {
-        let (tx, mut waiting) = mpsc::unbounded_channel();
+    fn new() -> Self {
+        let (tx, rx) = mpsc::unbounded_channel();
+        Self { targets: Vec::new(), links: Vec::new(), probing: Probing::default(), tx, rx }
+    }
+
+    /// Asks targets, as far as the budget of health checks allows; the first one always.
+    fn ask<D: Dialect>(&mut self, shared: &Arc<Shared>, ex: &Exchange, mut targets: Vec<Target>) {
         while let Some(target) = targets.pop() {
             if !shared.try_probe(shared.clock.now()) && !self.targets.is_empty() {
                 break;
@@ -129,22 +199,34 @@
                 index,
                 target,
                 health_path: ex.health_path.clone(),
-                tx: tx.clone(),
+                tx: self.tx.clone(),
             };
             tokio::spawn(question.ask::<D>());
         }
-        drop(tx);
-        while let Some(Asked { index, result }) = waiting.recv().await {
+    }
+
+    /// Takes answers until one is good, all have come or `patience` is over.
+    async fn collect(&mut self, shared: &Shared, view: &View, ex: &Exchange, patience: Duration) {
+        let until = Instant::now() + patience;
+        while !self.probing.is_over() {
+            let Ok(Some(asked)) = tokio::time::timeout_at(until, self.rx.recv()).await else {
+                return;
+            };
+            let Asked { index, result } = asked;
             let step = match result {
                 Ok((link, report)) => self.note(shared, view, ex, index, link, report),
                 Err(_) => self.probing.on_failure(),
             };
             if matches!(step, Step::Send(_)) {
-                break;
+                return;
             }
         }
-        waiting.close();
-        while let Ok(Asked { index, result }) = waiting.try_recv() {
+    }
+
+    /// Gives back the connections of answers that came too late to count.
+    fn close(&mut self, shared: &Shared) {
+        self.rx.close();
+        while let Ok(Asked { index, result }) = self.rx.try_recv() {
             if let Ok((link, _)) = result {
                 shared.pool.put(&self.targets[index].name, link);
             }
@@ -233,9 +315,9 @@
     async fn ask<D: Dialect>(self) {
         let Self { shared, index, target, health_path, tx } = self;
         let question = question::<D>(&shared, &target, &health_path);
-        let result = match tokio::time::timeout(ASK_TIMEOUT, question).await {
+        let result = match tokio::time::timeout(ANSWER_LIMIT, question).await {
             Ok(result) => result,
-            Err(_) => Err(format!("no answer within {} ms", ASK_TIMEOUT.as_millis())),
+            Err(_) => Err(format!("no answer within {} ms", ANSWER_LIMIT.as_millis())),
         };
         if let Err(reason) = &result {
             let now = shared.clock.now();
--- a/ibiscroft-edge/src/lib.rs
+++ b/ibiscroft-edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod daemon;
 mod dialect;
 mod exchange;
+mod feed_hub;
 mod feeder;
 mod filters;
 mod link;
--- a/ibiscroft-edge/src/membership.rs
+++ b/ibiscroft-edge/src/membership.rs
@@ -78,6 +78,7 @@
     /// Registers or renews; returns the time until the next call.
     async fn call(&self) -> Duration {
         self.shared.metrics.store_calls.with_label_values(&["lease"]).inc();
+        log::debug!("store call=lease held={:?}", self.held());
         let error = match self.held() {
             Some(lease) => match self.registry.renew(lease).await {
                 Ok(()) => return RENEW.mul_f64(rand::rng().random_range(0.9..1.0)),
@@ -113,6 +114,7 @@
             name: settings.instance.clone(),
             zone: settings.availability_zone.clone(),
             address: settings.mesh_listen,
+            strength: settings.strength(),
         }
     }
 
--- a/ibiscroft-edge/src/mesh.rs
+++ b/ibiscroft-edge/src/mesh.rs
@@ -1,4 +1,6 @@
 //! Connections between gateways: one tells others what changed.
+//!
+//! A message is the age of its update in microseconds followed by the update, both in CBOR.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,59 +9,39 @@
 use bytes::Bytes;
 use eyre::WrapErr;
 use futures_util::SinkExt;
-use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::Update;
+use ibiscroft_core::fleet::{Revision, Update};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::broadcast;
 use tokio::sync::broadcast::error::RecvError;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::handshake::server::{
+    Callback, ErrorResponse, Request, Response,
+};
 
 use crate::events::event;
-use crate::feeder::aged;
+use crate::feed_hub::{FeedHub, FeedMessage};
 use crate::shared::Shared;
 
-/// Updates that may wait for one follower before it gets everything anew.
-pub(crate) const FOLLOWER_QUEUE: usize = 64;
 /// Time for which sent bytes may stay unacknowledged before a connection counts as silent.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Age stated for a view whose age the sender does not know; any view is stale long before.
-const UNKNOWN_AGE: Duration = Duration::from_secs(3_600);
-
-/// An update on its way to followers.
-#[derive(Clone, Debug)]
-pub(crate) struct FeedMessage {
-    update: Arc<Update>,
-    made_at: Tick,
-}
-
-impl FeedMessage {
-    /// Makes a message at `now`.
-    pub(crate) fn new(update: Update, now: Tick) -> Self {
-        Self { update: Arc::new(update), made_at: now }
-    }
-
-    /// Returns the message as it is sent at `now`.
-    fn encode(&self, now: Tick) -> eyre::Result<Message> {
-        let age = aged(self.update.age, self.made_at, now);
-        let mut buf = Vec::new();
-        ciborium::into_writer(&Update { age, ..(*self.update).clone() }, &mut buf)?;
-        Ok(Message::Binary(Bytes::from(buf)))
-    }
-}
-
-/// Opens a connection to the gateway at `address`, which then tells what it knows and what changes.
+/// Opens a connection to the gateway at `address`, which then tells what changed after
+/// `revision`.
 ///
 /// # Errors
 ///
 /// Returns why it cannot be opened.
-pub(crate) async fn open(address: SocketAddr) -> eyre::Result<WebSocketStream<TcpStream>> {
+pub(crate) async fn open(
+    address: SocketAddr,
+    revision: Revision,
+) -> eyre::Result<WebSocketStream<TcpStream>> {
     let stream = TcpStream::connect(address).await?;
     prepare(&stream)?;
-    let (stream, _) =
-        tokio_tungstenite::client_async(format!("ws://{address}/feed"), stream).await?;
+    let url = format!("ws://{address}/feed?after={revision}");
+    let (stream, _) = tokio_tungstenite::client_async(url, stream).await?;
     Ok(stream)
 }
 
@@ -69,68 +51,85 @@
 ///
 /// Returns why an update cannot be read.
 pub(crate) fn decode(message: Message) -> eyre::Result<Option<Update>> {
-    match message {
-        Message::Binary(bytes) => Ok(Some(ciborium::from_reader(bytes.as_ref())?)),
-        _ => Ok(None),
+    let Message::Binary(bytes) = message else {
+        return Ok(None);
+    };
+    let mut rest = bytes.as_ref();
+    let age: u64 = ciborium::from_reader(&mut rest).wrap_err("age")?;
+    let update: Update = ciborium::from_reader(&mut rest).wrap_err("update")?;
+    Ok(Some(Update { age: Duration::from_micros(age), ..update }))
+}
+
+/// Revision that a follower stands at, read from its handshake; 0 if it states none.
+struct RequestedRevision(Revision);
+
+impl Callback for &mut RequestedRevision {
+    fn on_request(self, req: &Request, res: Response) -> Result<Response, ErrorResponse> {
+        let query = req.uri().query().unwrap_or_default();
+        let stated = query.strip_prefix("after=").and_then(|text| text.parse().ok());
+        self.0 = stated.unwrap_or_default();
+        Ok(res)
     }
 }
 
 /// Accepts followers until the runtime ends.
-pub(crate) async fn serve(
-    shared: Arc<Shared>,
-    listener: TcpListener,
-    updates: broadcast::Sender<FeedMessage>,
-) {
+pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener, hub: FeedHub) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                let updates = updates.subscribe();
-                tokio::spawn(serve_logged(Arc::clone(&shared), stream, peer, updates));
+                let (shared, hub) = (Arc::clone(&shared), hub.clone());
+                tokio::spawn(async move {
+                    if let Err(error) = serve_follower(&shared, stream, &hub).await {
+                        event!(MeshRefused, "peer={peer} reason={:?}", format!("{error:#}"));
+                    }
+                });
             }
             Err(error) => {
                 event!(MeshRefused, "reason={:?}", error.to_string());
-                tokio::time::sleep(Duration::from_millis(100)).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
 }
 
-async fn serve_logged(
-    shared: Arc<Shared>,
-    stream: TcpStream,
-    peer: SocketAddr,
-    updates: broadcast::Receiver<FeedMessage>,
-) {
-    if let Err(error) = serve_follower(shared, stream, updates).await {
-        event!(MeshRefused, "peer={peer} reason={:?}", format!("{error:#}"));
-    }
-}
-
-/// Sends everything known and then each change.
-async fn serve_follower(
-    shared: Arc<Shared>,
-    stream: TcpStream,
-    mut updates: broadcast::Receiver<FeedMessage>,
-) -> eyre::Result<()> {
+/// Sends what the follower lacks and then each change.
+async fn serve_follower(shared: &Shared, stream: TcpStream, hub: &FeedHub) -> eyre::Result<()> {
     prepare(&stream)?;
-    let mut stream = tokio_tungstenite::accept_async(stream).await.wrap_err("handshake")?;
-    stream.send(everything(&shared)?).await?;
+    let mut after = RequestedRevision(Revision(0));
+    let mut stream =
+        tokio_tungstenite::accept_hdr_async(stream, &mut after).await.wrap_err("handshake")?;
+    let RequestedRevision(after) = after;
+    let (missed, mut updates) = hub.subscribe(after);
+    match missed {
+        Some(missed) => {
+            for message in missed {
+                stream.send(encode(shared, &message)?).await?;
+            }
+        }
+        None => stream.send(everything(shared, hub)?).await?,
+    }
     loop {
         let message = match updates.recv().await {
-            Ok(message) => message.encode(shared.clock.now())?,
-            Err(RecvError::Lagged(_)) => everything(&shared)?,
+            Ok(message) => encode(shared, &message)?,
+            Err(RecvError::Lagged(_)) => everything(shared, hub)?,
             Err(RecvError::Closed) => return Ok(()),
         };
         stream.send(message).await?;
     }
 }
 
-/// Returns a message with all that is known; its age is that of the published view.
-fn everything(shared: &Shared) -> eyre::Result<Message> {
-    let view = shared.view.load_full();
-    // How fresh the view is comes with the next change or heartbeat.
-    let update = view.full(UNKNOWN_AGE);
-    FeedMessage::new(update, Tick::ZERO).encode(Tick::ZERO)
+/// Returns a message with the age that its update has by now.
+fn encode(shared: &Shared, message: &FeedMessage) -> eyre::Result<Message> {
+    let age = message.update.age + shared.clock.now().since(message.made_at);
+    let mut buf = Vec::with_capacity(message.encoded.len() + 9);
+    ciborium::into_writer(&u64::try_from(age.as_micros()).unwrap_or(u64::MAX), &mut buf)?;
+    buf.extend_from_slice(&message.encoded);
+    Ok(Message::Binary(Bytes::from(buf)))
+}
+
+/// Returns a message with all that is known; how fresh it is comes with the next one.
+fn everything(shared: &Shared, hub: &FeedHub) -> eyre::Result<Message> {
+    encode(shared, &hub.everything(shared.view.load_full(), shared.clock.now())?)
 }
 
 fn prepare(stream: &TcpStream) -> eyre::Result<()> {
--- a/ibiscroft-edge/src/registry.rs
+++ b/ibiscroft-edge/src/registry.rs
@@ -40,8 +40,11 @@
 
 /// Access to the store in the terms of the core.
 pub trait Registry: Clone + Send + Sync + 'static {
-    /// Reads everything.
-    fn list(&self) -> impl Future<Output = Result<Update, RegistryError>> + Send;
+    /// Reads everything; if it `may_be_stale`, as it stood up to some seconds ago.
+    fn list(
+        &self,
+        may_be_stale: bool,
+    ) -> impl Future<Output = Result<Update, RegistryError>> + Send;
 
     /// Waits up to `wait` for changes after a revision.
     fn changes(
--- a/ibiscroft-edge/src/settings.rs
+++ b/ibiscroft-edge/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 
 use eyre::{WrapErr, ensure};
+use ibiscroft_core::fleet::Strength;
 use ibiscroft_core::ids::{InstanceName, ZoneName};
 use serde::Deserialize;
 
@@ -39,6 +40,10 @@
     pub probes_per_s: f64,
     /// Requests that a cold target may get in a second, as a factor of what it states.
     pub cold_factor: f64,
+    /// Processor share of the instance, in cores.
+    pub cores: f64,
+    /// Bandwidth of the instance, in Mbit/s.
+    pub bandwidth_mbps: f64,
     /// Seconds between a stop signal and the end of the process.
     pub stop_grace_s: f64,
 }
@@ -88,6 +93,12 @@
             "probes_per_s is {}, must be above 0",
             found.probes_per_s
         );
+        ensure!(found.cores > 0.0, "cores is {}, must be above 0", found.cores);
+        ensure!(
+            found.bandwidth_mbps > 0.0,
+            "bandwidth_mbps is {}, must be above 0",
+            found.bandwidth_mbps
+        );
         ensure!(found.cold_factor > 0.0, "cold_factor is {}, must be above 0", found.cold_factor);
         ensure!(
             (0.5..=3_600.0).contains(&found.stop_grace_s),
@@ -96,4 +107,9 @@
         );
         Ok(found)
     }
+
+    /// Returns what the instance can bear beside its callers.
+    pub(crate) fn strength(&self) -> Strength {
+        Strength((self.cores * self.bandwidth_mbps * 1e3) as u64)
+    }
 }
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -38,6 +38,8 @@
     pub(crate) pool: LinkPool,
     /// Set once a planned stop began.
     pub(crate) is_closing: AtomicBool,
+    /// Set once the view was as new as the store.
+    pub(crate) is_current: AtomicBool,
     probes: Mutex<(usize, TokenBucket)>,
     local: Mutex<Local>,
 }
@@ -93,6 +95,7 @@
             metrics: Metrics::new()?,
             pool: LinkPool::default(),
             is_closing: AtomicBool::new(false),
+            is_current: AtomicBool::new(false),
             probes: Mutex::new((0, TokenBucket::new(PerSecond(0), 0))),
             local: Mutex::default(),
         }))
@@ -137,6 +140,8 @@
     /// Returns whether the platform's balancer may send new connections.
     pub(crate) fn is_ready(&self) -> bool {
         let view = self.view.load();
-        !self.is_closing() && view.configuration().is_some() && view.targets().next().is_some()
+        let is_current = self.is_current.load(Ordering::Relaxed);
+        let has_targets = view.targets().next().is_some();
+        !self.is_closing() && is_current && view.configuration().is_some() && has_targets
     }
 }
