--- a/ibiscroft-core/src/fleet/probe.rs
+++ b/ibiscroft-core/src/fleet/probe.rs
@@ -47,6 +47,12 @@
         self.running + self.waiting < self.slots.get()
     }
 
+    /// Returns whether one more request would slow down those that run, or wait.
+    #[must_use]
+    pub fn is_crowded(&self) -> bool {
+        f64::from(self.running + self.waiting + 1) > KNEE * f64::from(self.slots.get())
+    }
+
     /// Returns the expected time of one more request, in units of its usual time.
     #[must_use]
     pub fn cost(&self) -> f64 {
--- a/ibiscroft-edge/src/daemon.rs
+++ b/ibiscroft-edge/src/daemon.rs
@@ -129,7 +129,9 @@
         timer.tick().await;
         let view = shared.view.load_full();
         shared.pool.sweep(|name| view.target(name).is_some());
-        shared.local().cold.expire(shared.clock.now());
+        let mut local = shared.local();
+        local.cold.expire(shared.clock.now());
+        local.retain(|name| view.target(name).is_some());
     }
 }
 
--- a/ibiscroft-edge/src/events.rs
+++ b/ibiscroft-edge/src/events.rs
@@ -62,6 +62,7 @@
     RequestRefused 6102 Info "A request was refused and has not run.",
     RequestFailed 6103 Warn "A request failed and may have run.",
     RequestAbandoned 6104 Info "The caller left before its answer.",
+    RequestSent 6107 Info "A target was chosen for a request, by what it said of its load.",
     SendFailed 6105 Info "One send of a request to a target failed.",
     TargetUnreachable 6106 Info "A target could not be reached and is left alone for a moment.",
 }
--- a/ibiscroft-edge/src/filters/forward.rs
+++ b/ibiscroft-edge/src/filters/forward.rs
@@ -90,9 +90,10 @@
     ) -> Result<Answer, SendError> {
         let shared = &self.shared;
         let name = chosen.target.name.clone();
-        let (cost, report) = (chosen.cost, chosen.report);
+        let cost = chosen.cost;
         progress.tried.push(name.clone());
         let began = shared.clock.now();
+        log_send(ex, &chosen, progress, began);
         let sent = send::<D>(shared, ex, chosen, ex.deadline + LATE_ANSWER).await;
         let now = shared.clock.now();
         let verdict = match &sent {
@@ -117,14 +118,9 @@
             shared.metrics.send_failures.with_label_values(&[reason]).inc();
             event!(
                 SendFailed,
-                "req={} target={name} reason={reason} ms={} running={} waiting={} slots={} \
-                 slowness={:.2} detail={error:?}",
+                "req={} target={name} reason={reason} ms={} detail={error:?}",
                 ex.request_id,
                 now.since(began).as_millis(),
-                report.running,
-                report.waiting,
-                report.slots,
-                report.slowness,
             );
         }
         sent
@@ -208,6 +204,26 @@
     }
 }
 
+fn log_send(ex: &Exchange, chosen: &Chosen, progress: &Progress, now: Tick) {
+    let Chosen { target, report, cost, asked, .. } = chosen;
+    let Report { running, waiting, slots, slowness, .. } = report;
+    event!(
+        RequestSent,
+        "req={} route={} version={} service={} target={} zone={} attempt={} asked={asked} \
+         cost={cost:.2} running={running} waiting={waiting} slots={slots} slowness={slowness:.2} \
+         waited_ms={} left_ms={}",
+        ex.request_id,
+        ex.route.name,
+        ex.version,
+        ex.service,
+        target.name,
+        target.zone,
+        progress.sent + 1,
+        now.since(ex.received).as_millis(),
+        ex.deadline.since(now).as_millis(),
+    );
+}
+
 fn reason(error: &SendError) -> &'static str {
     match error {
         SendError::NotSent(_) => "not_sent",
--- a/ibiscroft-edge/src/filters/select.rs
+++ b/ibiscroft-edge/src/filters/select.rs
@@ -51,6 +51,8 @@
     pub(super) report: Report,
     /// Expected time, in units of a request's usual time.
     pub(super) cost: f64,
+    /// Targets that were asked.
+    pub(super) asked: usize,
 }
 
 /// Why no target was chosen.
@@ -125,11 +127,12 @@
             };
             list.push(target.clone());
         }
-        drop(local);
         let instance = shared.settings.instance.as_str();
         for list in [&mut found.near, &mut found.far, &mut found.paused] {
             order(list, instance);
+            list.sort_by_key(|target| std::cmp::Reverse(local.was_slow(now, &target.name)));
         }
+        drop(local);
         found
     }
 
@@ -187,7 +190,7 @@
     /// Asks targets, as far as the budget of health checks allows; the first one always.
     fn ask<D: Dialect>(&mut self, shared: &Arc<Shared>, ex: &Exchange, mut targets: Vec<Target>) {
         while let Some(target) = targets.pop() {
-            if !shared.try_probe(shared.clock.now()) && !self.targets.is_empty() {
+            if !shared.take_probe(self.targets.is_empty()) {
                 break;
             }
             let index = self.targets.len();
@@ -250,7 +253,8 @@
             (true, Repeatable::Download) => LARGE_CROSSING_COST,
             (true, _) => CROSSING_COST,
         };
-        let local = shared.local();
+        let mut local = shared.local();
+        local.note_cost(now, &target.name, report.cost());
         let failure_rate = local.health(&target.name).failure_rate(now);
         let may_send = report.cold_left.is_zero()
             || local.cold.has_room(now, &target.name, cold_share(shared, view, target));
@@ -265,6 +269,7 @@
     /// Returns the best target and gives the other connections back.
     fn into_chosen(self, shared: &Shared, view: &View) -> Option<Chosen> {
         let best = self.probing.best();
+        let asked = self.targets.len();
         let mut chosen = None;
         for (index, (target, found)) in self.targets.into_iter().zip(self.links).enumerate() {
             let Some((link, report)) = found else {
@@ -272,7 +277,7 @@
             };
             match best {
                 Some((cost, best)) if best == index => {
-                    chosen = Some(Chosen { target, link, report, cost });
+                    chosen = Some(Chosen { target, link, report, cost, asked });
                 }
                 _ => shared.pool.put(&target.name, link),
             }
--- a/ibiscroft-edge/src/filters/send.rs
+++ b/ibiscroft-edge/src/filters/send.rs
@@ -58,6 +58,9 @@
         if facts.request_id.as_deref().is_some_and(|id| id != ex.request_id.as_str()) {
             return Err(SendError::Lost("the answer belongs to another request".to_string()));
         }
+        if let Some(report) = facts.report {
+            shared.local().note_cost(shared.clock.now(), &target.name, report.cost());
+        }
         if let Some(refusal) = facts.refusal {
             if body.collect().await.is_ok() {
                 shared.pool.put(&target.name, link);
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -7,9 +7,10 @@
 
 use arc_swap::ArcSwap;
 use ibiscroft_core::Tick;
-use ibiscroft_core::budget::TokenBucket;
-use ibiscroft_core::fleet::{ColdShares, Health, RetryTerms, RetryWindow, Split, Verdict, View};
-use ibiscroft_core::ids::{PerSecond, ServiceName, TargetName};
+use ibiscroft_core::fleet::{
+    ColdShares, Health, ProbeBudget, RetryTerms, RetryWindow, Split, Verdict, View,
+};
+use ibiscroft_core::ids::{ServiceName, TargetName};
 
 use crate::clock::Clock;
 use crate::link_pool::LinkPool;
@@ -18,8 +19,10 @@
 
 /// Part of the fleet's health checks that is used; the rest covers uneven traffic.
 const PROBE_SAFETY: f64 = 0.9;
-/// Seconds' worth of health checks that may be sent at once.
-const PROBE_BURST_S: f64 = 2.0;
+/// Time for which a target is likely to stay slow.
+const SLOW_LASTS: Duration = Duration::from_millis(80);
+/// Cost above which a target is slow.
+const SLOW_COST: f64 = 1.9;
 /// Weight of the newest answer in a service's usual time.
 const NEWEST: f64 = 0.1;
 
@@ -40,7 +43,6 @@
     pub(crate) is_closing: AtomicBool,
     /// Set once the view was as new as the store.
     pub(crate) is_current: AtomicBool,
-    probes: Mutex<(usize, TokenBucket)>,
     local: Mutex<Local>,
 }
 
@@ -51,8 +53,10 @@
     pub(crate) split: Split,
     /// Requests to cold targets.
     pub(crate) cold: ColdShares,
+    probes: ProbeBudget,
     windows: HashMap<ServiceName, RetryWindow>,
     health: HashMap<TargetName, Health>,
+    costs: HashMap<TargetName, (Tick, f64)>,
     usual: HashMap<ServiceName, f64>,
 }
 
@@ -72,6 +76,23 @@
         self.windows.entry(service.clone()).or_insert_with(|| RetryWindow::new(terms))
     }
 
+    /// Notes what a target said of its load.
+    pub(crate) fn note_cost(&mut self, now: Tick, target: &TargetName, cost: f64) {
+        self.costs.insert(target.clone(), (now, cost));
+    }
+
+    /// Returns whether a target said a moment ago that it is slow or crowded.
+    pub(crate) fn was_slow(&self, now: Tick, target: &TargetName) -> bool {
+        let known = self.costs.get(target);
+        known.is_some_and(|(at, cost)| now.since(*at) < SLOW_LASTS && *cost > SLOW_COST)
+    }
+
+    /// Forgets targets that are no longer `known`.
+    pub(crate) fn retain(&mut self, known: impl Fn(&TargetName) -> bool) {
+        self.health.retain(|target, _| known(target));
+        self.costs.retain(|target, _| known(target));
+    }
+
     /// Notes the time of an answer that was expected to cost `cost` times the usual.
     pub(crate) fn note_time(&mut self, service: &ServiceName, time: Duration, cost: f64) {
         let sample = time.as_secs_f64() / cost.max(1.0);
@@ -96,7 +117,6 @@
             pool: LinkPool::default(),
             is_closing: AtomicBool::new(false),
             is_current: AtomicBool::new(false),
-            probes: Mutex::new((0, TokenBucket::new(PerSecond(0), 0))),
             local: Mutex::default(),
         }))
     }
@@ -119,17 +139,14 @@
     }
 
     /// Takes a health check from this gateway's part of the fleet's.
-    pub(crate) fn try_probe(&self, now: Tick) -> bool {
+    pub(crate) fn take_probe(&self, necessary: bool) -> bool {
         let view = self.view.load();
-        let targets = view.targets().count();
-        let rate = self.settings.probes_per_s * PROBE_SAFETY * targets as f64
-            / view.member_count().max(1) as f64;
-        let mut probes = self.probes.lock().unwrap_or_else(PoisonError::into_inner);
-        if probes.0 != rate as usize {
-            let burst = (rate * PROBE_BURST_S) as u32;
-            *probes = (rate as usize, TokenBucket::new(PerSecond(rate as u32), burst));
-        }
-        probes.1.try_take(now)
+        let targets = view.targets().count() as f64;
+        let gateways = view.member_count().max(1) as f64;
+        // Before the view is current, the number of gateways that share the budget is unknown.
+        let part = if self.is_current.load(Ordering::Relaxed) { PROBE_SAFETY } else { 0.0 };
+        let rate = self.settings.probes_per_s * part * targets / gateways;
+        self.local().probes.take(self.clock.now(), rate, necessary)
     }
 
     /// Returns whether a planned stop began.
