perf(edge): three gateways a zone register themselves, the others are counted over the mesh

Change: a gateway registers only while fewer than three of its zone rank before it; followers tell the gateway that they follow how many they speak for, and the one that reads the store writes the sum when it has changed by a tenth. Budgets are divided by that number, the largest of the last 30 s. A reader's gather time shrinks by what a slow call took; a follower's first read of the store asks for changes, not for everything.

--- a/ibiscroft-core/src/fleet/change.rs
+++ b/ibiscroft-core/src/fleet/change.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::configuration::Configuration;
-use super::target::{Member, Target};
+use super::target::{GatewayCount, Member, Target};
 use crate::ids::{InstanceName, TargetName, ZoneName};
 use crate::number_newtype;
 
@@ -31,6 +31,8 @@
     Member(Member),
     /// The registration of a gateway ended.
     MemberGone(InstanceName),
+    /// The number of gateways changed.
+    Gateways(GatewayCount),
 }
 
 /// Changes that were read together.
--- a/ibiscroft-core/src/fleet/cold_share.rs
+++ b/ibiscroft-core/src/fleet/cold_share.rs
@@ -3,10 +3,13 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use super::target::GatewayCount;
 use crate::Tick;
 use crate::ids::{InstanceName, TargetName};
 use crate::rendezvous;
 
+/// Part of the rate by which gateways are chosen; their number varies about it by chance.
+const CHOSEN_PART: f64 = 0.75;
 /// Span in which requests to a cold target are counted, with room for late arrivals.
 const SPAN: Duration = Duration::from_millis(1_100);
 
@@ -18,25 +21,18 @@
 }
 
 impl ColdShare {
-    /// Returns the part of `own` of the `rate` that a cold target bears from the whole fleet.
+    /// Returns the part of `own` of the `rate` that a cold target bears from `gateways`.
     ///
-    /// With more gateways than requests, those that rank first for the target get one each.
+    /// With more gateways than requests, a part of them chosen by hash gets one each.
     #[must_use]
-    pub fn of<'a>(
-        rate: f64,
-        target: &TargetName,
-        own: &InstanceName,
-        gateways: impl ExactSizeIterator<Item = &'a InstanceName>,
-    ) -> Self {
-        let count = gateways.len().max(1);
-        let whole = rate.max(0.0) as usize;
-        if count <= whole {
-            let per_second = u32::try_from(whole / count).unwrap_or(u32::MAX);
-            return Self { per_second };
+    pub fn of(rate: f64, target: &TargetName, own: &InstanceName, gateways: GatewayCount) -> Self {
+        let rate = rate.max(0.0);
+        let count = f64::from(gateways.get().max(1));
+        if count <= rate {
+            return Self { per_second: (rate / count) as u32 };
         }
-        let names = gateways.map(InstanceName::as_str);
-        let first = rendezvous::ranked(target.as_str(), names, whole);
-        Self { per_second: u32::from(first.contains(&own.as_str())) }
+        let place = rendezvous::weight(target.as_str(), own.as_str()) as f64 / u64::MAX as f64;
+        Self { per_second: u32::from(place < rate * CHOSEN_PART / count) }
     }
 }
 
--- a/ibiscroft-core/src/fleet/feed.rs
+++ b/ibiscroft-core/src/fleet/feed.rs
@@ -17,9 +17,11 @@
 const FLEET: &str = "fleet";
 /// Age of the view at which the first gateway of a zone reads the store itself; above the
 /// longest regular silence of a reader, see the timing of its calls.
-const FIRST_STALE: Duration = Duration::from_millis(1_100);
+const FIRST_STALE: Duration = Duration::from_millis(1_200);
 /// The same for the others, so that they give their first time to find another source.
-const OTHERS_STALE: Duration = Duration::from_millis(1_350);
+const OTHERS_STALE: Duration = Duration::from_millis(1_450);
+/// Gateways of a zone that register themselves, for the others to follow.
+const SOURCES: usize = 3;
 /// Pause before a gateway that failed as a source is asked again; doubled at each failure.
 const RETRY_SOURCE: Duration = Duration::from_secs(4);
 /// Longest such pause.
@@ -83,6 +85,16 @@
         }
     }
 
+    /// Returns whether the gateway is to register itself: few of its zone rank before it.
+    #[must_use]
+    pub fn should_register<'a>(own: &Member, members: impl Iterator<Item = &'a Member>) -> bool {
+        let key = own.zone.as_str();
+        let before = members
+            .filter(|member| member.zone == own.zone && member.name != own.name)
+            .filter(|member| rank(key, member) > rank(key, own));
+        before.count() < SOURCES
+    }
+
     /// Notes that the view is known to be `age` old at `now`.
     pub fn note_fresh(&mut self, now: Tick, age: Duration) {
         self.fresh_at = self.fresh_at.max(now.before(age));
--- a/ibiscroft-core/src/fleet/retry_window.rs
+++ b/ibiscroft-core/src/fleet/retry_window.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::target::GatewayCount;
 use crate::Tick;
 
 /// Steps that a window is counted in.
@@ -50,8 +51,8 @@
     /// Takes a further send if this gateway's part of the budget has room.
     ///
     /// `gateways` share the floor. `reserve` of 0..1 is kept back for more important sends.
-    pub fn try_retry(&mut self, now: Tick, gateways: usize, reserve: f64) -> bool {
-        let floor = self.terms.floor / gateways.max(1) as f64;
+    pub fn try_retry(&mut self, now: Tick, gateways: GatewayCount, reserve: f64) -> bool {
+        let floor = self.terms.floor / f64::from(gateways.get().max(1));
         self.step(now);
         let requests: u32 = self.steps.iter().map(|step| step.requests).sum();
         let retries: u32 = self.steps.iter().map(|step| step.retries).sum();
--- a/ibiscroft-core/src/fleet/target.rs
+++ b/ibiscroft-core/src/fleet/target.rs
@@ -13,6 +13,10 @@
     Born(u64)
 );
 
+number_newtype!(
+    /// A number of gateways.
+    GatewayCount(u32)
+);
 number_newtype!(
     /// What an instance can bear, in thousandths of a core times Mbit/s.
     Strength(u64)
--- a/ibiscroft-core/src/fleet/view.rs
+++ b/ibiscroft-core/src/fleet/view.rs
@@ -5,7 +5,7 @@
 
 use super::change::{Change, Revision, Update};
 use super::configuration::Configuration;
-use super::target::{Member, Target, TargetState};
+use super::target::{GatewayCount, Member, Target, TargetState};
 use crate::Tick;
 use crate::ids::{Generation, InstanceName, ServiceName, TargetName, ZoneName};
 
@@ -20,6 +20,7 @@
     zones_out: BTreeSet<ZoneName>,
     targets: BTreeMap<TargetName, Target>,
     members: BTreeMap<InstanceName, Member>,
+    gateways: Option<GatewayCount>,
     revision: Revision,
     /// Targets whose registration ended while the store was away, until the grace ends.
     lapsed: BTreeSet<TargetName>,
@@ -75,6 +76,7 @@
         changes.extend(self.zones_out.iter().cloned().map(Change::ZoneOut));
         changes.extend(self.targets.values().cloned().map(Change::Target));
         changes.extend(self.members.values().cloned().map(Change::Member));
+        changes.extend(self.gateways.map(Change::Gateways));
         Update { revision: self.revision, is_full: true, changes, age }
     }
 
@@ -131,6 +133,12 @@
         self.members.len()
     }
 
+    /// Returns the number of gateways that the store holds.
+    #[must_use]
+    pub fn gateways(&self) -> Option<GatewayCount> {
+        self.gateways
+    }
+
     /// Returns the zones that are taken out.
     pub fn zones_out(&self) -> impl Iterator<Item = &ZoneName> {
         self.zones_out.iter()
@@ -165,6 +173,7 @@
                 self.members.insert(member.name.clone(), member.clone()).as_ref() != Some(member)
             }
             Change::MemberGone(name) => self.members.remove(name).is_some(),
+            Change::Gateways(count) => self.gateways.replace(*count) != Some(*count),
         };
         if differs {
             made.push(change);
--- a/ibiscroft-edge/src/daemon.rs
+++ b/ibiscroft-edge/src/daemon.rs
@@ -46,9 +46,9 @@
 ) -> eyre::Result<()> {
     let shared = Shared::new(settings).wrap_err("metrics")?;
     let membership = Membership::new(Arc::clone(&shared), registry.clone());
-    start_control(Arc::clone(&shared), registry, membership.clone())?;
+    start_control(Arc::clone(&shared), registry, membership)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve::<D, R>(shared, settings_file, membership))
+    runtime.block_on(serve::<D>(shared, settings_file))
 }
 
 /// Starts the thread that owns what the daemon believes.
@@ -71,11 +71,7 @@
     Ok(())
 }
 
-async fn serve<D: Dialect, R: Registry>(
-    shared: Arc<Shared>,
-    settings_file: PathBuf,
-    membership: Membership<R>,
-) -> eyre::Result<()> {
+async fn serve<D: Dialect>(shared: Arc<Shared>, settings_file: PathBuf) -> eyre::Result<()> {
     let settings = &shared.settings;
     let callers = bind(settings.caller_listen).await?;
     let status = TcpAcceptor::from_tokio(bind(settings.status_listen).await?)?;
@@ -88,7 +84,7 @@
     let chain = Account::new(Arc::clone(&shared), Forward::<D>::new(Arc::clone(&shared)));
     let endpoint = CallerEndpoint::<D, _>::new(Arc::clone(&shared), chain, connections);
     let grace = Duration::from_secs_f64(settings.stop_grace_s);
-    let stop = stopped(Arc::clone(&shared), settings_file, membership, Signals::new()?);
+    let stop = stopped(Arc::clone(&shared), settings_file, Signals::new()?);
     Server::new_with_acceptor(acceptor)
         .run_with_graceful_shutdown(endpoint, stop, Some(grace.mul_f64(DRAIN_PART)))
         .await
@@ -98,19 +94,14 @@
 }
 
 /// Waits until a planned stop may end the acceptance of connections.
-async fn stopped<R: Registry>(
-    shared: Arc<Shared>,
-    settings_file: PathBuf,
-    membership: Membership<R>,
-    mut signals: Signals,
-) {
+async fn stopped(shared: Arc<Shared>, settings_file: PathBuf, mut signals: Signals) {
     while signals.next().await == Asked::Reload {
         reload(&shared, &settings_file);
     }
     shared.is_closing.store(true, Ordering::Relaxed);
     event!(StopRequested, "in_flight={}", shared.metrics.in_flight.get());
     let grace = Duration::from_secs_f64(shared.settings.stop_grace_s);
-    tokio::join!(tokio::time::sleep(grace.mul_f64(NOTICE_PART)), membership.leave());
+    tokio::time::sleep(grace.mul_f64(NOTICE_PART)).await;
 }
 
 /// Reads the settings again; a faulty file changes nothing.
--- a/ibiscroft-edge/src/feed_hub.rs
+++ b/ibiscroft-edge/src/feed_hub.rs
@@ -1,11 +1,12 @@
 //! Recent updates, for gateways that follow this one.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::{Revision, Update, View};
+use ibiscroft_core::fleet::{GatewayCount, Revision, Update, View};
 use tokio::sync::broadcast;
 
 /// Updates that may wait for one follower before it is served anew.
@@ -61,13 +62,15 @@
     tx: broadcast::Sender<FeedMessage>,
     history: Arc<Mutex<History>>,
     everything: Arc<Mutex<Option<Everything>>>,
+    /// Gateways that each follower speaks for.
+    followers: Arc<Mutex<HashMap<SocketAddr, GatewayCount>>>,
 }
 
 impl FeedHub {
     /// Makes a hub without history.
     pub(crate) fn new() -> Self {
         let (tx, _) = broadcast::channel(FOLLOWER_QUEUE);
-        Self { tx, history: Arc::default(), everything: Arc::default() }
+        Self { tx, history: Arc::default(), everything: Arc::default(), followers: Arc::default() }
     }
 
     /// Hands on an update that followed one at revision `before`.
@@ -120,6 +123,22 @@
         Ok(message)
     }
 
+    /// Notes how many gateways a follower speaks for; zero when it is gone.
+    pub(crate) fn note_follower(&self, follower: SocketAddr, count: GatewayCount) {
+        let mut followers = self.followers.lock().unwrap_or_else(PoisonError::into_inner);
+        if count == GatewayCount(0) {
+            followers.remove(&follower);
+        } else {
+            followers.insert(follower, count);
+        }
+    }
+
+    /// Returns how many gateways this one speaks for, itself included.
+    pub(crate) fn gateways(&self) -> GatewayCount {
+        let followers = self.followers.lock().unwrap_or_else(PoisonError::into_inner);
+        GatewayCount(1 + followers.values().map(|count| count.get()).sum::<u32>())
+    }
+
     fn history(&self) -> MutexGuard<'_, History> {
         self.history.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -6,8 +6,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use futures_util::StreamExt;
-use ibiscroft_core::fleet::{Change, Feed, Member, Revision, Source, Update, View};
+use futures_util::{SinkExt, StreamExt};
+use ibiscroft_core::fleet::{
+    Change, Feed, GatewayCount, Member, Revision, SizeKeeper, Source, Update, View,
+};
+use tokio::net::TcpStream;
+use tokio_tungstenite::WebSocketStream;
 
 use crate::events::event;
 use crate::feed_hub::{FeedHub, FeedMessage};
@@ -18,6 +22,8 @@
 
 /// Longest time to open a connection to another gateway and to get its view.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Age up to which the view counts as current.
+const CURRENT: Duration = Duration::from_secs(1);
 /// Age from which an update does not make the view fresh.
 const WORTHLESS_AGE: Duration = Duration::from_secs(60);
 /// Changes of one update that are logged one by one; the others are counted.
@@ -39,6 +45,7 @@
     feed: Feed,
     view: View,
     hub: FeedHub,
+    keeper: SizeKeeper,
 }
 
 impl<R: Registry> Feeder<R> {
@@ -47,7 +54,7 @@
         let settings = &shared.settings;
         let feed = Feed::new(settings.instance.clone(), settings.availability_zone.clone());
         let reader = StoreReader::new(Arc::clone(&shared), registry);
-        Self { shared, reader, feed, view: View::default(), hub }
+        Self { shared, reader, feed, view: View::default(), hub, keeper: SizeKeeper::default() }
     }
 
     /// Follows the best source until the runtime ends.
@@ -62,6 +69,7 @@
             match &source {
                 Source::Store => {
                     self.read_store().await;
+                    self.write_gateways().await;
                     self.reader.gather(self.view.member_count() == 0).await;
                 }
                 Source::Peer(peer) => self.follow_once(peer).await,
@@ -91,6 +99,17 @@
         true
     }
 
+    /// Writes the number of gateways if it has changed.
+    async fn write_gateways(&mut self) {
+        let now = self.shared.clock.now();
+        let sum = self.hub.gateways();
+        let is_current = self.feed.age(now) < CURRENT && self.view.member_count() > 0;
+        if !is_current || !self.keeper.is_due(now, self.view.gateways(), sum) {
+            return;
+        }
+        self.reader.write_gateways(sum).await;
+    }
+
     /// Follows a peer until it fails or another source is better.
     async fn follow_once(&mut self, peer: &Member) {
         if let Followed::Failed(reason) = self.follow(peer).await {
@@ -113,7 +132,15 @@
                 return Followed::Failed(format!("no connection within {ms} ms"));
             }
         };
+        let mut told = GatewayCount(0);
         loop {
+            let gateways = self.hub.gateways();
+            if gateways != told {
+                told = gateways;
+                if let Err(error) = send_count(&mut stream, gateways).await {
+                    return Followed::Failed(format!("count of gateways: {error:#}"));
+                }
+            }
             let wake = self.feed.stale_at().max(self.shared.clock.now() + self.reader.pause());
             let wake = self.shared.clock.instant(wake);
             match tokio::time::timeout_at(wake, stream.next()).await {
@@ -137,9 +164,13 @@
         }
     }
 
-    /// Reads the store if the view is old; returns whether it answered.
+    /// Reads the store if the view has become old; returns whether it answered.
+    ///
+    /// A gateway whose view never was current tries the other sources first.
     async fn read_if_stale(&mut self) -> bool {
-        self.shared.clock.now() >= self.feed.stale_at() && self.read_store().await
+        let was_current = self.shared.is_current.load(Ordering::Relaxed);
+        let is_stale = self.shared.clock.now() >= self.feed.stale_at();
+        was_current && is_stale && self.read_store().await
     }
 
     fn take(&mut self, update: Update, source: &str) {
@@ -171,6 +202,9 @@
             let version = i64::try_from(self.view.version().get()).unwrap_or(i64::MAX);
             self.shared.metrics.configuration_version.set(version);
             self.shared.view.store(Arc::new(self.view.clone()));
+            if let Some(count) = self.view.gateways() {
+                self.shared.local().gateways.note(now, count);
+            }
             if let Some(configuration) = self.view.configuration() {
                 self.shared.local().split.retain(configuration.routes());
             }
@@ -197,6 +231,13 @@
     }
 }
 
+async fn send_count(
+    stream: &mut WebSocketStream<TcpStream>,
+    gateways: GatewayCount,
+) -> eyre::Result<()> {
+    Ok(stream.send(mesh::tell(gateways)?).await?)
+}
+
 fn name(source: &Source) -> &str {
     match source {
         Source::Store => "store",
@@ -230,5 +271,6 @@
             format!("change=gateway gateway={} address={}", member.name, member.address)
         }
         Change::MemberGone(name) => format!("change=gateway_gone gateway={name}"),
+        Change::Gateways(count) => format!("change=gateways count={count}"),
     }
 }
--- a/ibiscroft-edge/src/feeder/store_reader.rs
+++ b/ibiscroft-edge/src/feeder/store_reader.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ibiscroft_core::fleet::{Revision, Update};
+use ibiscroft_core::fleet::{GatewayCount, Revision, Update};
 use rand::Rng;
 
 use crate::events::event;
@@ -40,10 +40,15 @@
 pub(super) struct StoreReader<R> {
     shared: Arc<Shared>,
     registry: R,
+    /// Whether this reader has read the store's present state.
     is_current: bool,
+    /// Whether the changes since the last read are no longer kept.
+    lost_history: bool,
     is_lost: bool,
     stale_reads: u32,
     pause: Duration,
+    /// Rest of the time in which changes gather, less what a slow call took.
+    gather: Duration,
 }
 
 impl<R: Registry> StoreReader<R> {
@@ -53,9 +58,11 @@
             shared,
             registry,
             is_current: false,
+            lost_history: false,
             is_lost: false,
             stale_reads: 0,
             pause: Duration::ZERO,
+            gather: GATHER,
         }
     }
 
@@ -70,7 +77,7 @@
             self.count("stale_list");
             self.stale_reads += 1;
             self.registry.list(true).await
-        } else if self.is_current && revision > Revision(0) {
+        } else if !self.lost_history && revision > Revision(0) {
             self.count("watch");
             self.registry.changes(revision, WATCH).await
         } else {
@@ -87,7 +94,9 @@
                 }
                 // A watch answers at the end of its wait; what goes beyond it is age.
                 update.age = self.shared.clock.now().since(began).saturating_sub(WATCH);
+                self.gather = GATHER.saturating_sub(update.age);
                 self.is_current = true;
+                self.lost_history = false;
                 self.pause = Duration::ZERO;
                 let is_back = std::mem::take(&mut self.is_lost);
                 if is_back {
@@ -102,12 +111,20 @@
         }
     }
 
+    /// Writes the number of gateways; a failure is tried again with the next read.
+    pub(super) async fn write_gateways(&self, count: GatewayCount) {
+        self.count("write");
+        if let Err(error) = self.registry.write_gateways(count).await {
+            event!(StoreLost, "gateways={count} reason={:?}", error.to_string());
+        }
+    }
+
     /// Waits until the store may be asked again.
     pub(super) async fn gather(&self, knows_nobody: bool) {
         let pause = if self.is_lost {
             self.pause()
         } else if self.is_current {
-            GATHER
+            self.gather
         } else if knows_nobody {
             STALE_PAUSE
         } else {
@@ -123,7 +140,7 @@
 
     fn on_error(&mut self, error: &RegistryError, revision: Revision) {
         if *error == RegistryError::HistoryLost {
-            self.is_current = false;
+            self.lost_history = true;
             event!(HistoryLost, "revision={revision}");
             return;
         }
--- a/ibiscroft-edge/src/filters/select.rs
+++ b/ibiscroft-edge/src/filters/select.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, header};
 use http_body_util::BodyExt;
-use ibiscroft_core::fleet::{ColdShare, Probing, Repeatable, Report, Step, Target, Verdict, View};
+use ibiscroft_core::fleet::{
+    ColdShare, GatewayCount, Probing, Repeatable, Report, Step, Target, Verdict, View,
+};
 use ibiscroft_core::ids::TargetName;
 use ibiscroft_core::rendezvous;
 use rand::seq::SliceRandom;
@@ -253,11 +255,12 @@
             (true, Repeatable::Download) => LARGE_CROSSING_COST,
             (true, _) => CROSSING_COST,
         };
+        let gateways = shared.gateways();
         let mut local = shared.local();
         local.note_cost(now, &target.name, report.cost());
         let failure_rate = local.health(&target.name).failure_rate(now);
         let may_send = report.cold_left.is_zero()
-            || local.cold.has_room(now, &target.name, cold_share(shared, view, target));
+            || local.cold.has_room(now, &target.name, cold_share(shared, view, target, gateways));
         drop(local);
         self.links[index] = Some((link, report));
         if !may_send {
@@ -285,8 +288,9 @@
         let chosen = chosen.filter(|chosen| may_use(shared, &chosen.target))?;
         let Chosen { target, report, .. } = &chosen;
         let now = shared.clock.now();
-        let may_send = report.cold_left.is_zero()
-            || shared.local().cold.try_send(now, &target.name, cold_share(shared, view, target));
+        let share = cold_share(shared, view, target, shared.gateways());
+        let may_send =
+            report.cold_left.is_zero() || shared.local().cold.try_send(now, &target.name, share);
         may_send.then_some(chosen)
     }
 }
@@ -298,12 +302,11 @@
 }
 
 /// Returns this gateway's part of what a cold target bears.
-fn cold_share(shared: &Shared, view: &View, target: &Target) -> ColdShare {
+fn cold_share(shared: &Shared, view: &View, target: &Target, gateways: GatewayCount) -> ColdShare {
     let services = view.configuration().map(|found| &found.services);
     let policy = services.and_then(|services| services.get(&target.service));
     let rate = policy.map_or(0.0, |policy| policy.cold_rate * shared.settings.cold_factor);
-    let names: Vec<_> = view.members().map(|member| &member.name).collect();
-    ColdShare::of(rate, &target.name, &shared.settings.instance, names.into_iter())
+    ColdShare::of(rate, &target.name, &shared.settings.instance, gateways)
 }
 
 /// One question to a target; it goes on when the request needs no more answers, so that its
--- a/ibiscroft-edge/src/membership.rs
+++ b/ibiscroft-edge/src/membership.rs
@@ -1,10 +1,10 @@
-//! Keeps the instance registered in the store while it runs.
+//! Keeps the instance registered in the store while others need it as a source.
 
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::Member;
+use ibiscroft_core::fleet::{Feed, Member};
 use rand::Rng;
 
 use crate::events::event;
@@ -21,8 +21,9 @@
 const SHOWS_WITHIN: Duration = Duration::from_secs(4);
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_secs(1);
-/// Longest wait for the store at the end of the process.
-const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait of a gateway that sees too few others registered; those that rank before it
+/// register meanwhile.
+const SPREAD: Duration = Duration::from_secs(3);
 
 /// The registration of one instance.
 #[derive(Clone, Debug)]
@@ -42,8 +43,23 @@
     pub(crate) async fn keep(self) {
         let mut next_call = Tick::ZERO;
         let mut joined_at = Tick::ZERO;
+        let wait = SPREAD.mul_f64(rand::random());
+        let mut wanted_since = None;
         while !self.shared.is_closing() {
+            tokio::time::sleep(CHECK).await;
             let now = self.shared.clock.now();
+            if !self.is_wanted() {
+                if self.held().is_some() {
+                    event!(RegistrationFailed, "reason=\"others rank before it; it lapses\"");
+                }
+                self.set(None);
+                wanted_since = None;
+                continue;
+            }
+            let since = *wanted_since.get_or_insert(now);
+            if self.held().is_none() && now.since(since) < wait {
+                continue;
+            }
             if self.was_removed(now, joined_at) {
                 event!(RegistrationFailed, "reason=\"the store no longer shows it\"");
                 self.set(None);
@@ -56,25 +72,9 @@
                     joined_at = self.shared.clock.now();
                 }
             }
-            tokio::time::sleep(CHECK).await;
         }
     }
 
-    /// Ends the registration; gateways then look for another source.
-    pub(crate) async fn leave(&self) {
-        let Some(lease) = self.held() else {
-            return;
-        };
-        self.set(None);
-        let left = tokio::time::timeout(LEAVE_TIMEOUT, self.registry.leave(lease)).await;
-        let reason = match left {
-            Ok(Ok(())) => return,
-            Ok(Err(error)) => error.to_string(),
-            Err(_) => format!("no answer within {} ms", LEAVE_TIMEOUT.as_millis()),
-        };
-        event!(RegistrationFailed, "lease={lease} reason=\"not ended: {reason}\"");
-    }
-
     /// Registers or renews; returns the time until the next call.
     async fn call(&self) -> Duration {
         self.shared.metrics.store_calls.with_label_values(&["lease"]).inc();
@@ -101,6 +101,11 @@
         PAUSE.mul_f64(rand::rng().random_range(1.0..2.0))
     }
 
+    /// Returns whether the gateway is needed as a source for others.
+    fn is_wanted(&self) -> bool {
+        Feed::should_register(&self.member(), self.shared.view.load().members())
+    }
+
     /// Returns whether the registration should show in the view and does not.
     fn was_removed(&self, now: Tick, joined_at: Tick) -> bool {
         let is_due = self.held().is_some() && now.since(joined_at) > SHOWS_WITHIN;
--- a/ibiscroft-edge/src/mesh.rs
+++ b/ibiscroft-edge/src/mesh.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use eyre::WrapErr;
-use futures_util::SinkExt;
-use ibiscroft_core::fleet::{Revision, Update};
+use futures_util::{SinkExt, StreamExt};
+use ibiscroft_core::fleet::{GatewayCount, Revision, Update};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::broadcast::error::RecvError;
@@ -45,6 +45,17 @@
     Ok(stream)
 }
 
+/// Returns the message by which a follower tells how many gateways it speaks for.
+///
+/// # Errors
+///
+/// Returns why it cannot be encoded.
+pub(crate) fn tell(count: GatewayCount) -> eyre::Result<Message> {
+    let mut buf = Vec::new();
+    ciborium::into_writer(&count, &mut buf)?;
+    Ok(Message::Binary(Bytes::from(buf)))
+}
+
 /// Reads a message; `None` if it carries no update.
 ///
 /// # Errors
@@ -79,7 +90,9 @@
             Ok((stream, peer)) => {
                 let (shared, hub) = (Arc::clone(&shared), hub.clone());
                 tokio::spawn(async move {
-                    if let Err(error) = serve_follower(&shared, stream, &hub).await {
+                    let served = serve_follower(&shared, stream, peer, &hub).await;
+                    hub.note_follower(peer, GatewayCount(0));
+                    if let Err(error) = served {
                         event!(MeshRefused, "peer={peer} reason={:?}", format!("{error:#}"));
                     }
                 });
@@ -93,7 +106,12 @@
 }
 
 /// Sends what the follower lacks and then each change.
-async fn serve_follower(shared: &Shared, stream: TcpStream, hub: &FeedHub) -> eyre::Result<()> {
+async fn serve_follower(
+    shared: &Shared,
+    stream: TcpStream,
+    peer: SocketAddr,
+    hub: &FeedHub,
+) -> eyre::Result<()> {
     prepare(&stream)?;
     let mut after = RequestedRevision(Revision(0));
     let mut stream =
@@ -109,10 +127,21 @@
         None => stream.send(everything(shared, hub)?).await?,
     }
     loop {
-        let message = match updates.recv().await {
-            Ok(message) => encode(shared, &message)?,
-            Err(RecvError::Lagged(_)) => everything(shared, hub)?,
-            Err(RecvError::Closed) => return Ok(()),
+        let message = tokio::select! {
+            update = updates.recv() => match update {
+                Ok(message) => encode(shared, &message)?,
+                Err(RecvError::Lagged(_)) => everything(shared, hub)?,
+                Err(RecvError::Closed) => return Ok(()),
+            },
+            told = stream.next() => {
+                let Some(told) = told else {
+                    return Ok(());
+                };
+                if let Message::Binary(bytes) = told? {
+                    hub.note_follower(peer, ciborium::from_reader(bytes.as_ref())?);
+                }
+                continue;
+            }
         };
         stream.send(message).await?;
     }
--- a/ibiscroft-edge/src/registry.rs
+++ b/ibiscroft-edge/src/registry.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::time::Duration;
 
-use ibiscroft_core::fleet::{Member, Revision, Update};
+use ibiscroft_core::fleet::{GatewayCount, Member, Revision, Update};
 use ibiscroft_core::number_newtype;
 
 number_newtype!(
@@ -63,6 +63,9 @@
     /// Renews the lease.
     fn renew(&self, lease: Lease) -> impl Future<Output = Result<(), RegistryError>> + Send;
 
-    /// Ends the lease and with it the registration.
-    fn leave(&self, lease: Lease) -> impl Future<Output = Result<(), RegistryError>> + Send;
+    /// Writes the number of gateways.
+    fn write_gateways(
+        &self,
+        count: GatewayCount,
+    ) -> impl Future<Output = Result<(), RegistryError>> + Send;
 }
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -8,7 +8,8 @@
 use arc_swap::ArcSwap;
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::{
-    ColdShares, Health, ProbeBudget, RetryTerms, RetryWindow, Split, Verdict, View,
+    ColdShares, FleetSize, GatewayCount, Health, ProbeBudget, RetryTerms, RetryWindow, Split,
+    Verdict, View,
 };
 use ibiscroft_core::ids::{ServiceName, TargetName};
 
@@ -53,6 +54,8 @@
     pub(crate) split: Split,
     /// Requests to cold targets.
     pub(crate) cold: ColdShares,
+    /// Gateways that share the fleet's budgets.
+    pub(crate) gateways: FleetSize,
     probes: ProbeBudget,
     windows: HashMap<ServiceName, RetryWindow>,
     health: HashMap<TargetName, Health>,
@@ -134,15 +137,15 @@
     }
 
     /// Returns the number of gateways that share the fleet's budgets.
-    pub(crate) fn gateways(&self) -> usize {
-        self.view.load().member_count().max(1)
+    pub(crate) fn gateways(&self) -> GatewayCount {
+        self.local().gateways.get(self.clock.now())
     }
 
     /// Takes a health check from this gateway's part of the fleet's.
     pub(crate) fn take_probe(&self, necessary: bool) -> bool {
         let view = self.view.load();
         let targets = view.targets().count() as f64;
-        let gateways = view.member_count().max(1) as f64;
+        let gateways = f64::from(self.gateways().get());
         // Before the view is current, the number of gateways that share the budget is unknown.
         let part = if self.is_current.load(Ordering::Relaxed) { PROBE_SAFETY } else { 0.0 };
         let rate = self.settings.probes_per_s * part * targets / gateways;
