--- /dev/null
+++ b/ibiscroft-core/tests/it/fleet/probing.rs
@@ -0,0 +1,163 @@
+//! Choice among targets by what they say of their load.
+
+use std::time::Duration;
+
+use ibiscroft_core::fleet::{Health, Probing, Report, Step, Verdict};
+use ibiscroft_core::ids::Slots;
+
+use crate::support::at;
+
+fn report(running: u32, waiting: u32) -> Report {
+    Report {
+        running,
+        waiting,
+        slots: Slots(6),
+        slowness: 1.0,
+        cold_left: Duration::ZERO,
+        is_healthy: true,
+    }
+}
+
+/// One target that answers.
+struct Answer {
+    report: Report,
+    extra: f64,
+    failure_rate: f64,
+}
+
+impl From<Report> for Answer {
+    fn from(report: Report) -> Self {
+        Self { report, extra: 0.0, failure_rate: 0.0 }
+    }
+}
+
+#[test]
+fn the_target_that_answers_soonest_is_chosen() {
+    struct Case {
+        name: &'static str,
+        answers: Vec<Answer>,
+        chosen: usize,
+        heard: usize,
+    }
+    let slow = Report { slowness: 5.0, ..report(0, 0) };
+    let cold = Report { cold_left: Duration::from_secs(1), ..report(0, 0) };
+    let ill = Report { is_healthy: false, ..report(0, 0) };
+    let failing = || Answer { failure_rate: 0.8, ..report(0, 0).into() };
+    let far = || Answer { extra: 0.4, ..report(0, 0).into() };
+    let cases = [
+        Case {
+            name: "an idle one is taken at once",
+            answers: vec![report(1, 0).into(), report(0, 0).into()],
+            chosen: 0,
+            heard: 1,
+        },
+        Case {
+            name: "a neighbour slows the first",
+            answers: vec![slow.into(), report(5, 0).into()],
+            chosen: 1,
+            heard: 2,
+        },
+        Case {
+            name: "a wait line is worse than the way to another zone",
+            answers: vec![report(6, 4).into(), far()],
+            chosen: 1,
+            heard: 2,
+        },
+        Case {
+            name: "above the knee is worse than the way to another zone",
+            answers: vec![report(4, 0).into(), far()],
+            chosen: 1,
+            heard: 2,
+        },
+        Case {
+            name: "cold is slower",
+            answers: vec![cold.into(), report(5, 0).into()],
+            chosen: 1,
+            heard: 2,
+        },
+        Case {
+            name: "one that fails requests is avoided",
+            answers: vec![failing(), report(6, 6).into()],
+            chosen: 1,
+            heard: 2,
+        },
+        Case {
+            name: "one that says it is ill is the last choice",
+            answers: vec![ill.into(), report(6, 12).into()],
+            chosen: 1,
+            heard: 2,
+        },
+        Case {
+            name: "and is taken if there is no other",
+            answers: vec![ill.into()],
+            chosen: 0,
+            heard: 1,
+        },
+    ];
+    for case in cases {
+        let mut probing = Probing::default();
+        for _ in &case.answers {
+            probing.ask();
+        }
+        let mut heard = 0;
+        let mut sent = None;
+        for (index, answer) in case.answers.iter().enumerate() {
+            heard += 1;
+            let Answer { report, extra, failure_rate } = answer;
+            if let Step::Send(index) = probing.on_report(index, report, *extra, *failure_rate) {
+                sent = Some(index);
+                break;
+            }
+        }
+        assert_eq!((sent, heard), (Some(case.chosen), case.heard), "{}", case.name);
+    }
+}
+
+#[test]
+fn silence_of_all_leaves_no_choice() {
+    let mut probing = Probing::default();
+    probing.ask();
+    probing.ask();
+    assert_eq!(probing.on_failure(), Step::Wait);
+    assert!(!probing.is_over());
+    assert_eq!(probing.on_failure(), Step::Wait);
+    assert!(probing.is_over());
+    assert_eq!(probing.best(), None);
+}
+
+#[test]
+fn cost_rises_with_load() {
+    let costs: Vec<f64> =
+        (0..18).map(|load| report(load.min(6), load.saturating_sub(6)).cost()).collect();
+    assert!(costs.windows(2).all(|pair| pair[0] <= pair[1]), "{costs:?}");
+    assert!(report(3, 0).has_free_slot() && !report(6, 0).has_free_slot());
+}
+
+#[test]
+fn unreachable_targets_are_left_alone_for_longer_each_time() {
+    let mut health = Health::default();
+    let mut now = at(0);
+    for pause in [200, 400, 800, 1_600, 2_000, 2_000] {
+        health.note(now, Verdict::Unreachable);
+        let end = now + Duration::from_millis(pause);
+        assert!(health.is_paused(end.before(Duration::from_millis(1))), "{pause} ms");
+        assert!(!health.is_paused(end), "{pause} ms");
+        now = end;
+    }
+    health.note(now, Verdict::Answered);
+    health.note(now, Verdict::Unreachable);
+    assert!(!health.is_paused(now + Duration::from_millis(200)), "an answer starts anew");
+}
+
+#[test]
+fn failures_weigh_less_with_time_and_answers() {
+    let mut health = Health::default();
+    for _ in 0..10 {
+        health.note(at(0), Verdict::Failed);
+    }
+    let bad = health.failure_rate(at(0));
+    assert!(bad > 0.9, "{bad}");
+    assert!((health.failure_rate(at(3_000)) - bad / 2.0).abs() < 1e-9);
+    health.note(at(0), Verdict::Answered);
+    assert!(health.failure_rate(at(0)) < bad);
+}
--- /dev/null
+++ b/ibiscroft-core/tests/it/fleet/view.rs
@@ -0,0 +1,172 @@
+//! What changes add up to.
+
+use ibiscroft_core::fleet::{Born, Change, Target, TargetState, View};
+use ibiscroft_core::ids::{Generation, ServiceName, TargetName, ZoneName};
+
+use super::world::{configuration, delta, full, member, target};
+use crate::support::at;
+
+fn usable(view: &View) -> Vec<String> {
+    let service = ServiceName::new("register");
+    view.usable(&service).map(|target| target.name.to_string()).collect()
+}
+
+fn gone(name: &str) -> Change {
+    Change::TargetGone(TargetName::new(name))
+}
+
+fn draining(name: &str) -> Target {
+    Target { state: TargetState::Draining, sequence: 2, ..target(name, "a") }
+}
+
+#[test]
+fn targets_are_used_only_while_ready_and_in_a_zone_in_use() {
+    struct Case {
+        name: &'static str,
+        changes: Vec<Change>,
+        usable: &'static [&'static str],
+    }
+    let out = || Change::ZoneOut(ZoneName::new("a"));
+    let cases = [
+        Case { name: "ready", changes: vec![], usable: &["t1", "t2"] },
+        Case { name: "draining", changes: vec![Change::Target(draining("t1"))], usable: &["t2"] },
+        Case { name: "gone", changes: vec![gone("t1")], usable: &["t2"] },
+        Case { name: "zone out", changes: vec![out()], usable: &["t2"] },
+        Case {
+            name: "zone back in",
+            changes: vec![out(), Change::ZoneIn(ZoneName::new("a"))],
+            usable: &["t1", "t2"],
+        },
+    ];
+    for case in cases {
+        let mut view = View::default();
+        let targets = [target("t1", "a"), target("t2", "b")].map(Change::Target);
+        view.apply(at(0), full(1, targets.into()));
+        view.apply(at(1), delta(2, case.changes));
+        assert_eq!(usable(&view), case.usable, "{}", case.name);
+    }
+}
+
+#[test]
+fn what_a_target_said_earlier_changes_nothing() {
+    struct Case {
+        name: &'static str,
+        born: u64,
+        sequence: u64,
+        state: TargetState,
+        usable: bool,
+    }
+    let cases = [
+        Case { name: "older", born: 5, sequence: 6, state: TargetState::Ready, usable: false },
+        Case { name: "newer", born: 5, sequence: 8, state: TargetState::Ready, usable: true },
+        Case { name: "reborn", born: 6, sequence: 1, state: TargetState::Ready, usable: true },
+        Case {
+            name: "former life",
+            born: 4,
+            sequence: 9,
+            state: TargetState::Ready,
+            usable: false,
+        },
+    ];
+    for case in cases {
+        let mut view = View::default();
+        let known = Target { born: Born(5), sequence: 7, ..draining("t1") };
+        view.apply(at(0), full(1, vec![Change::Target(known)]));
+        let said = Target {
+            born: Born(case.born),
+            sequence: case.sequence,
+            state: case.state,
+            ..target("t1", "a")
+        };
+        view.apply(at(1), delta(2, vec![Change::Target(said)]));
+        assert_eq!(!usable(&view).is_empty(), case.usable, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_configuration_never_gives_way_to_an_older_one() {
+    let mut view = View::default();
+    let config = |version| Change::Configuration(Box::new(configuration(version, vec![])));
+    for (revision, version, in_force) in [(1, 3, 3), (2, 5, 5), (3, 4, 5), (4, 6, 6)] {
+        view.apply(at(0), delta(revision, vec![config(version)]));
+        assert_eq!(view.version(), Generation(in_force), "after version {version}");
+    }
+    view.apply(at(1), full(9, vec![config(2)]));
+    assert_eq!(view.version(), Generation(6), "after a full listing with an older version");
+}
+
+#[test]
+fn an_update_of_an_older_revision_is_ignored() {
+    let mut view = View::default();
+    view.apply(at(0), full(10, vec![Change::Target(target("t1", "a"))]));
+    assert!(view.apply(at(1), full(9, vec![])).is_empty());
+    assert!(view.apply(at(1), delta(9, vec![gone("t1")])).is_empty());
+    assert_eq!(usable(&view), ["t1"]);
+}
+
+#[test]
+fn a_full_listing_removes_what_it_lacks() {
+    let mut view = View::default();
+    let known = vec![
+        Change::Target(target("t1", "a")),
+        Change::Target(target("t2", "a")),
+        Change::Member(member("g1", "a", 1)),
+        Change::ZoneOut(ZoneName::new("a")),
+    ];
+    view.apply(at(0), full(1, known));
+    let made = view.apply(at(1), full(2, vec![Change::Target(target("t2", "a"))]));
+    assert_eq!(made.len(), 3, "{made:?}");
+    assert_eq!(usable(&view), ["t2"]);
+    assert_eq!(view.member_count(), 0);
+}
+
+#[test]
+fn registrations_that_lapse_with_the_store_have_a_grace() {
+    struct Case {
+        name: &'static str,
+        changes: Vec<Change>,
+        in_grace: &'static [&'static str],
+        after: &'static [&'static str],
+    }
+    let back = Target { sequence: 9, ..target("t1", "a") };
+    let cases = [
+        Case { name: "stays away", changes: vec![gone("t1")], in_grace: &["t1"], after: &[] },
+        Case {
+            name: "comes back",
+            changes: vec![gone("t1"), Change::Target(back)],
+            in_grace: &["t1"],
+            after: &["t1"],
+        },
+        Case {
+            name: "had said that it drains",
+            changes: vec![Change::Target(draining("t1")), gone("t1")],
+            in_grace: &[],
+            after: &[],
+        },
+    ];
+    for case in cases {
+        let mut view = View::default();
+        view.apply(at(0), full(1, vec![Change::Target(target("t1", "a"))]));
+        view.note_store_back(at(10_000));
+        view.apply(at(10_001), delta(2, case.changes));
+        assert!(view.expire(at(11_999)).is_empty(), "{}", case.name);
+        assert_eq!(usable(&view), case.in_grace, "{} in the grace", case.name);
+        view.expire(at(12_000));
+        assert_eq!(usable(&view), case.after, "{} after the grace", case.name);
+    }
+}
+
+#[test]
+fn a_full_update_of_a_view_makes_an_equal_view() {
+    let mut view = View::default();
+    let known = vec![
+        Change::Configuration(Box::new(configuration(4, vec![]))),
+        Change::Target(target("t1", "a")),
+        Change::Member(member("g1", "a", 1)),
+        Change::ZoneOut(ZoneName::new("b")),
+    ];
+    view.apply(at(0), full(7, known));
+    let mut copy = View::default();
+    copy.apply(at(0), view.full(std::time::Duration::ZERO));
+    assert_eq!(format!("{copy:?}"), format!("{view:?}"));
+}
--- a/ibiscroft-core/tests/it/main.rs
+++ b/ibiscroft-core/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod claims;
 mod cluster;
+mod fleet;
 mod freshness;
 mod gossip;
 mod integrity;
