--- a/ibiscroft-edge/src/exchange.rs
+++ b/ibiscroft-edge/src/exchange.rs
@@ -6,6 +6,8 @@
 use ibiscroft_core::fleet::Route;
 use ibiscroft_core::ids::{Generation, RequestId, ServiceName};
 
+use crate::shared::WorkKind;
+
 /// A request that was read whole and belongs to a route.
 #[derive(Clone, Debug)]
 pub(crate) struct Exchange {
@@ -29,6 +31,8 @@
     pub(crate) version: Generation,
     /// Service that the route's weights chose.
     pub(crate) service: ServiceName,
+    /// Kind of work that it is.
+    pub(crate) kind: WorkKind,
     /// Path of the service's health check.
     pub(crate) health_path: String,
 }
--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use eyre::WrapErr;
 use futures_util::{SinkExt, StreamExt};
 use ibiscroft_core::fleet::{
     Change, Feed, GatewayCount, Member, Revision, SizeKeeper, Source, Update, View,
@@ -22,6 +23,9 @@
 
 /// Longest time to open a connection to another gateway and to get its view.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time to hand a message to a connection; a fraction of the time after which a view is
+/// stale.
+const TELL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Age up to which the view counts as current.
 const CURRENT: Duration = Duration::from_secs(1);
 /// Age from which an update does not make the view fresh.
@@ -137,7 +141,7 @@
             let gateways = self.hub.gateways();
             if gateways != told {
                 told = gateways;
-                if let Err(error) = send_count(&mut stream, gateways).await {
+                if let Err(error) = tell_count(&mut stream, gateways).await {
                     return Followed::Failed(format!("count of gateways: {error:#}"));
                 }
             }
@@ -206,7 +210,7 @@
                 self.shared.local().gateways.note(now, count);
             }
             if let Some(configuration) = self.view.configuration() {
-                self.shared.local().split.retain(configuration.routes());
+                self.shared.local().retain_routes(configuration.routes());
             }
         }
         let update = Update { revision, is_full: false, changes: made, age };
@@ -231,11 +235,14 @@
     }
 }
 
-async fn send_count(
+/// Tells the gateway that is followed for how many this one speaks; a connection that does not
+/// take the message in time is silent.
+async fn tell_count(
     stream: &mut WebSocketStream<TcpStream>,
     gateways: GatewayCount,
 ) -> eyre::Result<()> {
-    Ok(stream.send(mesh::tell(gateways)?).await?)
+    let send = stream.send(mesh::tell(gateways)?);
+    Ok(tokio::time::timeout(TELL_TIMEOUT, send).await.wrap_err("the connection is silent")??)
 }
 
 fn name(source: &Source) -> &str {
--- a/ibiscroft-edge/src/filters/forward.rs
+++ b/ibiscroft-edge/src/filters/forward.rs
@@ -106,7 +106,7 @@
         let mut local = shared.local();
         local.note(now, &name, verdict);
         if verdict == Verdict::Answered {
-            local.note_time(&ex.service, now.since(began), cost);
+            local.note_time(&ex.kind, now.since(began), cost);
         }
         drop(local);
         match &sent {
@@ -143,7 +143,7 @@
     /// is refused while the caller can still come back; one that finds a free slot is served.
     fn too_late(&self, ex: &Exchange, chosen: &Chosen) -> Option<Failure> {
         let now = self.shared.clock.now();
-        let usual = self.shared.local().usual_time(&ex.service)?;
+        let usual = self.shared.local().usual_time(&ex.kind)?;
         let expected = usual.mul_f64(chosen.report.cost());
         let left = ex.deadline.since(now);
         let aim_left = (ex.received + ex.route.aim).since(now).min(left);
--- a/ibiscroft-edge/src/filters/identify.rs
+++ b/ibiscroft-edge/src/filters/identify.rs
@@ -14,7 +14,7 @@
 use crate::dialect::Dialect;
 use crate::exchange::Exchange;
 use crate::reply::{Failure, FailureKind};
-use crate::shared::Shared;
+use crate::shared::{Shared, WorkKind};
 
 /// When a caller may come back to a daemon that has no configuration yet.
 const RETRY_NOT_READY: Duration = Duration::from_millis(200);
@@ -62,6 +62,7 @@
         let detail = format!("route {} names no service", route.name);
         return Err(Failure::new(FailureKind::NoTarget, detail));
     };
+    let kind = WorkKind { route: route.name.clone(), service: service.clone() };
     let policy = configuration.services.get(&service);
     let health_path = policy.map_or_else(|| "/".to_string(), |found| found.health_path.clone());
     let patience = facts.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
@@ -81,6 +82,7 @@
         body,
         route,
         version: configuration.version,
+        kind,
         service,
         health_path,
     })
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -8,8 +8,8 @@
 use arc_swap::ArcSwap;
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::{
-    ColdShares, FleetSize, GatewayCount, Health, ProbeBudget, RetryTerms, RetryWindow, Split,
-    Verdict, View,
+    ColdShares, FleetSize, GatewayCount, Health, ProbeBudget, RetryTerms, RetryWindow, Route,
+    Split, Verdict, View,
 };
 use ibiscroft_core::ids::{ServiceName, TargetName};
 
@@ -24,7 +24,7 @@
 const SLOW_LASTS: Duration = Duration::from_millis(80);
 /// Cost above which a target is slow.
 const SLOW_COST: f64 = 1.9;
-/// Weight of the newest answer in a service's usual time.
+/// Weight of the newest answer in the usual time of a kind of work.
 const NEWEST: f64 = 0.1;
 
 /// Handles of one daemon.
@@ -47,6 +47,15 @@
     local: Mutex<Local>,
 }
 
+/// Work of one kind: requests of a route at a service, which take about the same time.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct WorkKind {
+    /// Name of the route.
+    pub(crate) route: String,
+    /// The service.
+    pub(crate) service: ServiceName,
+}
+
 /// What the traffic thread learned by itself.
 #[derive(Debug, Default)]
 pub(crate) struct Local {
@@ -60,7 +69,7 @@
     windows: HashMap<ServiceName, RetryWindow>,
     health: HashMap<TargetName, Health>,
     costs: HashMap<TargetName, (Tick, f64)>,
-    usual: HashMap<ServiceName, f64>,
+    usual: HashMap<WorkKind, f64>,
 }
 
 impl Local {
@@ -90,6 +99,12 @@
         known.is_some_and(|(at, cost)| now.since(*at) < SLOW_LASTS && *cost > SLOW_COST)
     }
 
+    /// Forgets kinds of work of routes that are not among `routes`.
+    pub(crate) fn retain_routes(&mut self, routes: &[Route]) {
+        self.split.retain(routes);
+        self.usual.retain(|kind, _| routes.iter().any(|route| route.name == kind.route));
+    }
+
     /// Forgets targets that are no longer `known`.
     pub(crate) fn retain(&mut self, known: impl Fn(&TargetName) -> bool) {
         self.health.retain(|target, _| known(target));
@@ -97,15 +112,15 @@
     }
 
     /// Notes the time of an answer that was expected to cost `cost` times the usual.
-    pub(crate) fn note_time(&mut self, service: &ServiceName, time: Duration, cost: f64) {
+    pub(crate) fn note_time(&mut self, kind: &WorkKind, time: Duration, cost: f64) {
         let sample = time.as_secs_f64() / cost.max(1.0);
-        let usual = self.usual.entry(service.clone()).or_insert(sample);
+        let usual = self.usual.entry(kind.clone()).or_insert(sample);
         *usual += (sample - *usual) * NEWEST;
     }
 
-    /// Returns the usual time of a request of a service, `None` before the first answer.
-    pub(crate) fn usual_time(&self, service: &ServiceName) -> Option<Duration> {
-        self.usual.get(service).map(|seconds| Duration::from_secs_f64(*seconds))
+    /// Returns the usual time of a kind of work, `None` before the first answer.
+    pub(crate) fn usual_time(&self, kind: &WorkKind) -> Option<Duration> {
+        self.usual.get(kind).map(|seconds| Duration::from_secs_f64(*seconds))
     }
 }
 
