fix(edge): the usual time is learned relative to what the load explains

Cause: the learned time was divided by a cost that also held failures and the way to another zone, so a service whose targets shed learned too short a time and let requests wait too long.

--- a/ibiscroft-edge/src/filters/forward.rs
+++ b/ibiscroft-edge/src/filters/forward.rs
@@ -90,7 +90,7 @@
     ) -> Result<Answer, SendError> {
         let shared = &self.shared;
         let name = chosen.target.name.clone();
-        let cost = chosen.cost;
+        let load_cost = chosen.report.cost();
         progress.tried.push(name.clone());
         let began = shared.clock.now();
         log_send(ex, &chosen, progress, began);
@@ -106,7 +106,7 @@
         let mut local = shared.local();
         local.note(now, &name, verdict);
         if verdict == Verdict::Answered {
-            local.note_time(&ex.kind, now.since(began), cost);
+            local.note_time(&ex.kind, now.since(began), load_cost);
         }
         drop(local);
         match &sent {
