fix(edge): a target's own 503 without word that nothing ran is not passed on

Cause: callers take 408, 421, 429 and 503 as the promise that a request has not run. Change: such an answer counts as lost: repeated if the request may be, else 502.

--- a/ibiscroft-edge/src/filters/send.rs
+++ b/ibiscroft-edge/src/filters/send.rs
@@ -70,6 +70,10 @@
         if head.status.is_success() && !facts.is_sealed {
             return Err(SendError::Lost("a success without the target's seal".to_string()));
         }
+        if promises_unrun(head.status) {
+            let status = head.status.as_u16();
+            return Err(SendError::Lost(format!("status {status} of a request that may have run")));
+        }
         read_answer(shared, &target.name, link, head.status, head.headers, body).await
     };
     match tokio::time::timeout_at(shared.clock.instant(deadline), exchange).await {
@@ -78,6 +82,17 @@
     }
 }
 
+/// Returns whether callers take a status as the promise that the request has not run.
+fn promises_unrun(status: StatusCode) -> bool {
+    let promises = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    promises.contains(&status)
+}
+
 /// Reads an answer whole if it is small enough.
 async fn read_answer(
     shared: &Shared,
