feat(edge): requests that crash targets are contained, fleet-wide

Cause: a request that ends the process of each target that runs it comes again at any gateway. Change: a loss counts once the target refuses connections; the core's quarantine judges, losses and answers go to the other gateways over the mesh at once.

--- a/ibiscroft-core/src/fleet/change.rs
+++ b/ibiscroft-core/src/fleet/change.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::configuration::Configuration;
+use super::hint::Hint;
 use super::target::{GatewayCount, Member, Target};
 use crate::ids::{InstanceName, TargetName, ZoneName};
 use crate::number_newtype;
@@ -44,6 +45,8 @@
     pub is_full: bool,
     /// The changes in their order.
     pub changes: Vec<Change>,
+    /// What gateways saw.
+    pub hints: Vec<Hint>,
     /// Time since the store was known to be at `revision`.
     pub age: Duration,
 }
--- a/ibiscroft-core/src/fleet/view.rs
+++ b/ibiscroft-core/src/fleet/view.rs
@@ -77,7 +77,7 @@
         changes.extend(self.targets.values().cloned().map(Change::Target));
         changes.extend(self.members.values().cloned().map(Change::Member));
         changes.extend(self.gateways.map(Change::Gateways));
-        Update { revision: self.revision, is_full: true, changes, age }
+        Update { revision: self.revision, is_full: true, changes, hints: Vec::new(), age }
     }
 
     /// Returns the configuration in force.
--- a/ibiscroft-core/src/quarantine/fingerprint.rs
+++ b/ibiscroft-core/src/quarantine/fingerprint.rs
@@ -8,7 +8,7 @@
 
 copy_data! {
     /// Hash of the parts of a request that stay the same when its caller sends it again.
-    #[derive(PartialOrd, Ord)]
+    #[derive(PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
     pub struct Fingerprint(pub u64);
 }
 
--- a/ibiscroft-core/src/quarantine/state.rs
+++ b/ibiscroft-core/src/quarantine/state.rs
@@ -20,6 +20,7 @@
 
 data! {
     /// A request was lost together with the backend server that ran it.
+    #[derive(serde::Serialize, serde::Deserialize)]
     pub struct Loss {
         /// The request.
         pub fingerprint: Fingerprint,
--- a/ibiscroft-core/tests/it/fleet/world.rs
+++ b/ibiscroft-core/tests/it/fleet/world.rs
@@ -65,7 +65,13 @@
 }
 
 pub(super) fn full(revision: u64, changes: Vec<Change>) -> Update {
-    Update { revision: Revision(revision), is_full: true, changes, age: Duration::ZERO }
+    Update {
+        revision: Revision(revision),
+        is_full: true,
+        changes,
+        hints: Vec::new(),
+        age: Duration::ZERO,
+    }
 }
 
 pub(super) fn delta(revision: u64, changes: Vec<Change>) -> Update {
--- a/ibiscroft-edge/src/daemon.rs
+++ b/ibiscroft-edge/src/daemon.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
+use ibiscroft_core::fleet::Hint;
 use ibiscroft_listener::{ConnectionAcceptor, Connections};
 use poem::Server;
 use poem::listener::TcpAcceptor;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 
 use crate::dialect::Dialect;
 use crate::events::event;
@@ -17,6 +19,7 @@
 use crate::feeder::Feeder;
 use crate::filters::account::Account;
 use crate::filters::forward::Forward;
+use crate::filters::quarantine::Quarantine;
 use crate::membership::Membership;
 use crate::mesh;
 use crate::registry::Registry;
@@ -31,6 +34,8 @@
 const NOTICE_PART: f64 = 0.45;
 /// Part of the stop's grace after the notice in which requests in flight may end.
 const DRAIN_PART: f64 = 0.45;
+/// Hints that may wait for the control thread.
+const HINT_QUEUE: usize = 64;
 /// Interval in which idle connections to targets are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -44,9 +49,10 @@
     settings_file: PathBuf,
     registry: R,
 ) -> eyre::Result<()> {
-    let shared = Shared::new(settings).wrap_err("metrics")?;
+    let (hint_tx, hints) = mpsc::channel(HINT_QUEUE);
+    let shared = Shared::new(settings, hint_tx).wrap_err("metrics")?;
     let membership = Membership::new(Arc::clone(&shared), registry.clone());
-    start_control(Arc::clone(&shared), registry, membership)?;
+    start_control(Arc::clone(&shared), registry, membership, hints)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(serve::<D>(shared, settings_file))
 }
@@ -56,13 +62,23 @@
     shared: Arc<Shared>,
     registry: R,
     membership: Membership<R>,
+    mut hints: mpsc::Receiver<Hint>,
 ) -> eyre::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let listener = runtime.block_on(bind(shared.settings.mesh_listen))?;
     let hub = FeedHub::new();
     let feeder = Feeder::new(Arc::clone(&shared), registry, hub.clone());
+    let spread = {
+        let (shared, hub) = (Arc::clone(&shared), hub.clone());
+        async move {
+            while let Some(hint) = hints.recv().await {
+                mesh::take_hint(&shared, &hub, hint);
+            }
+        }
+    };
     let control = async move {
-        tokio::join!(feeder.run(), membership.keep(), mesh::serve(shared, listener, hub));
+        let serve = mesh::serve(shared, listener, hub);
+        tokio::join!(feeder.run(), membership.keep(), serve, spread);
     };
     std::thread::Builder::new()
         .name("control".to_string())
@@ -81,7 +97,9 @@
 
     let connections = Arc::new(Connections::default());
     let acceptor = ConnectionAcceptor::new(callers, Arc::clone(&connections))?;
-    let chain = Account::new(Arc::clone(&shared), Forward::<D>::new(Arc::clone(&shared)));
+    let forward = Forward::<D>::new(Arc::clone(&shared));
+    let quarantine = Quarantine::new(Arc::clone(&shared), forward);
+    let chain = Account::new(Arc::clone(&shared), quarantine);
     let endpoint = CallerEndpoint::<D, _>::new(Arc::clone(&shared), chain, connections);
     let grace = Duration::from_secs_f64(settings.stop_grace_s);
     let stop = stopped(Arc::clone(&shared), settings_file, Signals::new()?);
@@ -122,6 +140,7 @@
         shared.pool.sweep(|name| view.target(name).is_some());
         let mut local = shared.local();
         local.cold.expire(shared.clock.now());
+        local.suspects.expire(shared.clock.now());
         local.retain(|name| view.target(name).is_some());
     }
 }
--- a/ibiscroft-edge/src/events.rs
+++ b/ibiscroft-edge/src/events.rs
@@ -58,6 +58,7 @@
     SourceChanged 4101 Info "The daemon takes its view from another source.",
     SourceLost 4102 Warn "The gateway that told this one of changes was lost or told nothing fresh.",
     MeshRefused 4103 Warn "A connection of another gateway ended with an error.",
+    HintTaken 4104 Info "A gateway told that a request was lost with its target, or answered since.",
     RequestAnswered 6101 Info "A request was answered by a target.",
     RequestRefused 6102 Info "A request was refused and has not run.",
     RequestFailed 6103 Warn "A request failed and may have run.",
--- a/ibiscroft-edge/src/exchange.rs
+++ b/ibiscroft-edge/src/exchange.rs
@@ -5,6 +5,7 @@
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::Route;
 use ibiscroft_core::ids::{Generation, RequestId, ServiceName};
+use ibiscroft_core::quarantine::Fingerprint;
 
 use crate::shared::WorkKind;
 
@@ -31,6 +32,8 @@
     pub(crate) version: Generation,
     /// Service that the route's weights chose.
     pub(crate) service: ServiceName,
+    /// What stays the same when its caller sends it again.
+    pub(crate) fingerprint: Fingerprint,
     /// Kind of work that it is.
     pub(crate) kind: WorkKind,
     /// Path of the service's health check.
--- a/ibiscroft-edge/src/feed_hub.rs
+++ b/ibiscroft-edge/src/feed_hub.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::{GatewayCount, Revision, Update, View};
+use ibiscroft_core::fleet::{GatewayCount, Hint, Revision, Update, View};
 use tokio::sync::broadcast;
 
+use crate::events::event;
+
 /// Updates that may wait for one follower before it is served anew.
 const FOLLOWER_QUEUE: usize = 64;
 /// Updates kept for followers that come or come back; at two a second half a minute of changes.
@@ -62,6 +64,8 @@
     tx: broadcast::Sender<FeedMessage>,
     history: Arc<Mutex<History>>,
     everything: Arc<Mutex<Option<Everything>>>,
+    /// Hints on their way to the gateway that this one follows.
+    upstream: broadcast::Sender<Hint>,
     /// Gateways that each follower speaks for.
     followers: Arc<Mutex<HashMap<SocketAddr, GatewayCount>>>,
 }
@@ -70,7 +74,14 @@
     /// Makes a hub without history.
     pub(crate) fn new() -> Self {
         let (tx, _) = broadcast::channel(FOLLOWER_QUEUE);
-        Self { tx, history: Arc::default(), everything: Arc::default(), followers: Arc::default() }
+        let (upstream, _) = broadcast::channel(FOLLOWER_QUEUE);
+        Self {
+            tx,
+            upstream,
+            history: Arc::default(),
+            everything: Arc::default(),
+            followers: Arc::default(),
+        }
     }
 
     /// Hands on an update that followed one at revision `before`.
@@ -92,6 +103,28 @@
         let _ = self.tx.send(message);
     }
 
+    /// Hands hints on to the followers.
+    pub(crate) fn spread(&self, revision: Revision, hints: Vec<Hint>, now: Tick) {
+        let update =
+            Update { revision, is_full: false, changes: Vec::new(), hints, age: UNKNOWN_AGE };
+        match FeedMessage::new(update, now) {
+            // Without a follower there is nobody to tell.
+            Ok(message) => drop(self.tx.send(message)),
+            Err(error) => event!(MeshRefused, "reason={:?}", format!("encode: {error:#}")),
+        }
+    }
+
+    /// Hands a hint on to the gateway that this one follows, if any.
+    pub(crate) fn tell_upstream(&self, hint: Hint) {
+        // A gateway that follows nobody has nobody to tell.
+        let _ = self.upstream.send(hint);
+    }
+
+    /// Returns the hints to come for the gateway that this one follows.
+    pub(crate) fn upstream(&self) -> broadcast::Receiver<Hint> {
+        self.upstream.subscribe()
+    }
+
     /// Returns the updates after `revision`, `None` if not all of them are kept, and those to come.
     pub(crate) fn subscribe(
         &self,
--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -9,7 +9,7 @@
 use eyre::WrapErr;
 use futures_util::{SinkExt, StreamExt};
 use ibiscroft_core::fleet::{
-    Change, Feed, GatewayCount, Member, Revision, SizeKeeper, Source, Update, View,
+    Change, Feed, GatewayCount, Hint, Member, Revision, SizeKeeper, Source, Told, Update, View,
 };
 use tokio::net::TcpStream;
 use tokio_tungstenite::WebSocketStream;
@@ -137,17 +137,27 @@
             }
         };
         let mut told = GatewayCount(0);
+        let mut hints = self.hub.upstream();
         loop {
             let gateways = self.hub.gateways();
             if gateways != told {
                 told = gateways;
-                if let Err(error) = tell_count(&mut stream, gateways).await {
+                if let Err(error) = tell(&mut stream, Told::Gateways(gateways)).await {
                     return Followed::Failed(format!("count of gateways: {error:#}"));
                 }
             }
             let wake = self.feed.stale_at().max(self.shared.clock.now() + self.reader.pause());
             let wake = self.shared.clock.instant(wake);
-            match tokio::time::timeout_at(wake, stream.next()).await {
+            let next = tokio::select! {
+                next = tokio::time::timeout_at(wake, stream.next()) => next,
+                Ok(hint) = hints.recv() => {
+                    if let Err(error) = tell(&mut stream, Told::Hint(hint)).await {
+                        return Followed::Failed(format!("hint: {error:#}"));
+                    }
+                    continue;
+                }
+            };
+            match next {
                 Ok(Some(Ok(message))) => match mesh::decode(message) {
                     Ok(Some(update)) => self.take(update, "peer"),
                     Ok(None) => {}
@@ -180,6 +190,10 @@
     fn take(&mut self, update: Update, source: &str) {
         let now = self.shared.clock.now();
         let before = self.view.revision();
+        if !update.hints.is_empty() {
+            self.on_hints(update.hints);
+            return;
+        }
         if update.revision >= before && update.age < WORTHLESS_AGE {
             self.feed.note_fresh(now, update.age);
             self.shared.is_current.store(true, Ordering::Relaxed);
@@ -188,6 +202,16 @@
         self.publish(before, made, source);
     }
 
+    /// Uses hints of the gateway that this one follows and hands them on.
+    fn on_hints(&self, hints: Vec<Hint>) {
+        let now = self.shared.clock.now();
+        for hint in &hints {
+            event!(HintTaken, "source=peer {hint:?}");
+            self.shared.local().suspects.note_hint(now, hint);
+        }
+        self.hub.spread(self.view.revision(), hints, now);
+    }
+
     fn expire(&mut self) {
         let before = self.view.revision();
         let made = self.view.expire(self.shared.clock.now());
@@ -213,7 +237,7 @@
                 self.shared.local().retain_routes(configuration.routes());
             }
         }
-        let update = Update { revision, is_full: false, changes: made, age };
+        let update = Update { revision, is_full: false, changes: made, hints: Vec::new(), age };
         match FeedMessage::new(update, now) {
             Ok(message) => self.hub.send(before, message),
             Err(error) => event!(MeshRefused, "reason={:?}", format!("encode: {error:#}")),
@@ -235,13 +259,10 @@
     }
 }
 
-/// Tells the gateway that is followed for how many this one speaks; a connection that does not
-/// take the message in time is silent.
-async fn tell_count(
-    stream: &mut WebSocketStream<TcpStream>,
-    gateways: GatewayCount,
-) -> eyre::Result<()> {
-    let send = stream.send(mesh::tell(gateways)?);
+/// Tells the gateway that is followed something; a connection that does not take the message in
+/// time is silent.
+async fn tell(stream: &mut WebSocketStream<TcpStream>, told: Told) -> eyre::Result<()> {
+    let send = stream.send(mesh::tell(&told)?);
     Ok(tokio::time::timeout(TELL_TIMEOUT, send).await.wrap_err("the connection is silent")??)
 }
 
--- a/ibiscroft-edge/src/filters.rs
+++ b/ibiscroft-edge/src/filters.rs
@@ -1,8 +1,9 @@
-//! Filters that a request passes, in this order: identify, account, forward.
+//! Filters that a request passes, in this order: identify, account, quarantine, forward.
 
 pub(crate) mod account;
 pub(crate) mod forward;
 pub(crate) mod identify;
+pub(crate) mod quarantine;
 mod retry_after;
 mod select;
 mod send;
--- a/ibiscroft-edge/src/filters/forward.rs
+++ b/ibiscroft-edge/src/filters/forward.rs
@@ -1,11 +1,12 @@
 //! Sends a request to targets until one answers or the rules allow no further send.
 
+use std::io::ErrorKind;
 use std::marker::PhantomData;
 use std::sync::Arc;
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::{Report, Verdict};
+use ibiscroft_core::fleet::{Report, Target, Verdict};
 use ibiscroft_core::ids::TargetName;
 
 use super::Handler;
@@ -15,11 +16,14 @@
 use crate::dialect::{Dialect, Refusal};
 use crate::events::event;
 use crate::exchange::Exchange;
+use crate::link::Link;
 use crate::reply::{Answer, Failure, FailureKind, Reply};
 use crate::shared::Shared;
 
 /// Time after the deadline in which an answer that is on its way is still waited for.
 const LATE_ANSWER: Duration = Duration::from_millis(100);
+/// Longest wait for a connection to a target that lost a request.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(150);
 /// Connections that may turn out closed before a request was handed to any.
 const MAX_UNSENT: u32 = 3;
 /// Time after which targets that refused may have room, if no usual time is known.
@@ -89,7 +93,8 @@
         progress: &mut Progress,
     ) -> Result<Answer, SendError> {
         let shared = &self.shared;
-        let name = chosen.target.name.clone();
+        let target = chosen.target.clone();
+        let name = target.name.clone();
         let load_cost = chosen.report.cost();
         progress.tried.push(name.clone());
         let began = shared.clock.now();
@@ -108,7 +113,14 @@
         if verdict == Verdict::Answered {
             local.note_time(&ex.kind, now.since(began), load_cost);
         }
+        let is_lost = matches!(sent, Err(SendError::Lost(_)));
+        if is_lost {
+            local.suspects.note_lost(now, ex.fingerprint, &target);
+        }
         drop(local);
+        if is_lost {
+            tokio::spawn(look_after(Arc::clone(shared), target));
+        }
         match &sent {
             Err(SendError::NotSent(_)) => progress.unsent += 1,
             _ => progress.sent += 1,
@@ -204,6 +216,21 @@
     }
 }
 
+/// Finds out whether the process of a target that lost a request has ended.
+async fn look_after(shared: Arc<Shared>, target: Target) {
+    let opened = tokio::time::timeout(LOOK_TIMEOUT, Link::open(target.address)).await;
+    match opened {
+        Ok(Ok(link)) => shared.pool.put(&target.name, link),
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            let now = shared.clock.now();
+            let hints = shared.local().suspects.note_ended(now, &target);
+            shared.tell(hints);
+        }
+        Ok(Err(error)) => log::debug!("target {} after a loss: {error}", target.name),
+        Err(_) => log::debug!("target {} is silent after a loss", target.name),
+    }
+}
+
 fn log_send(ex: &Exchange, chosen: &Chosen, progress: &Progress, now: Tick) {
     let Chosen { target, report, cost, asked, .. } = chosen;
     let Report { running, waiting, slots, slowness, .. } = report;
--- a/ibiscroft-edge/src/filters/identify.rs
+++ b/ibiscroft-edge/src/filters/identify.rs
@@ -9,6 +9,7 @@
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::Configuration;
 use ibiscroft_core::ids::RequestId;
+use ibiscroft_core::quarantine::Fingerprint;
 use poem::Request;
 
 use crate::dialect::Dialect;
@@ -70,6 +71,8 @@
     let path_and_query = path_and_query.map_or_else(|| "/".to_string(), ToString::to_string);
     let method = req.method().clone();
     let body = read_body(req, configuration).await?;
+    let parts = [host.as_bytes(), method.as_str().as_bytes(), path_and_query.as_bytes(), &body];
+    let fingerprint = Fingerprint::new(parts);
     let mut headers = std::mem::take(req.headers_mut());
     remove_hop_by_hop(&mut headers);
     Ok(Exchange {
@@ -82,6 +85,7 @@
         body,
         route,
         version: configuration.version,
+        fingerprint,
         kind,
         service,
         health_path,
--- a/ibiscroft-edge/src/filters/select.rs
+++ b/ibiscroft-edge/src/filters/select.rs
@@ -66,10 +66,24 @@
     pub(super) asked: usize,
 }
 
+/// Why a target gave no usable answer.
+struct Unreachable {
+    /// Whether its process has ended, as far as a refused connection shows.
+    is_ended: bool,
+    /// What was seen.
+    detail: String,
+}
+
+impl Unreachable {
+    fn silent(detail: String) -> Self {
+        Self { is_ended: false, detail }
+    }
+}
+
 /// What became of a question to a target.
 struct Asked {
     index: usize,
-    result: Result<(Link, Report), String>,
+    result: Result<(Link, Report), Unreachable>,
 }
 
 /// Chooses the target for a request.
@@ -325,11 +339,20 @@
         let question = question::<D>(&shared, &target, &health_path);
         let result = match tokio::time::timeout(ANSWER_LIMIT, question).await {
             Ok(result) => result,
-            Err(_) => Err(format!("no answer within {} ms", ANSWER_LIMIT.as_millis())),
+            Err(_) => Err(Unreachable::silent(format!(
+                "no answer within {} ms",
+                ANSWER_LIMIT.as_millis()
+            ))),
         };
         if let Err(reason) = &result {
             let now = shared.clock.now();
-            shared.local().note(now, &target.name, Verdict::Unreachable);
+            let mut local = shared.local();
+            local.note(now, &target.name, Verdict::Unreachable);
+            let hints =
+                if reason.is_ended { local.suspects.note_ended(now, &target) } else { Vec::new() };
+            drop(local);
+            shared.tell(hints);
+            let reason = &reason.detail;
             shared.metrics.send_failures.with_label_values(&["probe"]).inc();
             let Target { name, address, .. } = &target;
             event!(TargetUnreachable, "target={name} address={address} reason={reason:?}");
@@ -347,15 +370,18 @@
     shared: &Shared,
     target: &Target,
     health_path: &str,
-) -> Result<(Link, Report), String> {
+) -> Result<(Link, Report), Unreachable> {
     if let Some(link) = shared.pool.take(&target.name)
         && let Ok(found) = ask_on::<D>(shared, link, target, health_path).await
     {
         return Ok(found);
     }
     shared.metrics.connections_opened.inc();
-    let link = Link::open(target.address).await.map_err(|error| format!("connect: {error}"))?;
-    ask_on::<D>(shared, link, target, health_path).await
+    let link = Link::open(target.address).await.map_err(|error| Unreachable {
+        is_ended: error.kind() == std::io::ErrorKind::ConnectionRefused,
+        detail: format!("connect: {error}"),
+    })?;
+    ask_on::<D>(shared, link, target, health_path).await.map_err(Unreachable::silent)
 }
 
 async fn ask_on<D: Dialect>(
--- a/ibiscroft-edge/src/lib.rs
+++ b/ibiscroft-edge/src/lib.rs
@@ -24,6 +24,7 @@
 mod shared;
 mod status_server;
 mod stop;
+mod suspects;
 
 pub mod events;
 
--- a/ibiscroft-edge/src/mesh.rs
+++ b/ibiscroft-edge/src/mesh.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use eyre::WrapErr;
 use futures_util::{SinkExt, StreamExt};
-use ibiscroft_core::fleet::{GatewayCount, Revision, Update};
+use ibiscroft_core::fleet::{GatewayCount, Hint, Revision, Told, Update};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::broadcast::error::RecvError;
@@ -45,17 +45,26 @@
     Ok(stream)
 }
 
-/// Returns the message by which a follower tells how many gateways it speaks for.
+/// Returns the message by which a follower tells something.
 ///
 /// # Errors
 ///
 /// Returns why it cannot be encoded.
-pub(crate) fn tell(count: GatewayCount) -> eyre::Result<Message> {
+pub(crate) fn tell(told: &Told) -> eyre::Result<Message> {
     let mut buf = Vec::new();
-    ciborium::into_writer(&count, &mut buf)?;
+    ciborium::into_writer(told, &mut buf)?;
     Ok(Message::Binary(Bytes::from(buf)))
 }
 
+/// Uses a hint from this gateway or a follower and hands it on both ways.
+pub(crate) fn take_hint(shared: &Shared, hub: &FeedHub, hint: Hint) {
+    let now = shared.clock.now();
+    event!(HintTaken, "source=follower {hint:?}");
+    shared.local().suspects.note_hint(now, &hint);
+    hub.tell_upstream(hint.clone());
+    hub.spread(shared.view.load().revision(), vec![hint], now);
+}
+
 /// Reads a message; `None` if it carries no update.
 ///
 /// # Errors
@@ -138,7 +147,10 @@
                     return Ok(());
                 };
                 if let Message::Binary(bytes) = told? {
-                    hub.note_follower(peer, ciborium::from_reader(bytes.as_ref())?);
+                    match ciborium::from_reader(bytes.as_ref())? {
+                        Told::Gateways(count) => hub.note_follower(peer, count),
+                        Told::Hint(hint) => take_hint(shared, hub, hint),
+                    }
                 }
                 continue;
             }
--- a/ibiscroft-edge/src/metrics.rs
+++ b/ibiscroft-edge/src/metrics.rs
@@ -29,6 +29,8 @@
     pub(crate) store_calls: IntCounterVec,
     /// Version of the configuration in force.
     pub(crate) configuration_version: IntGauge,
+    /// Hints for other gateways that were dropped because control was behind.
+    pub(crate) hints_dropped: IntCounter,
     /// Requests in flight.
     pub(crate) in_flight: IntGauge,
 }
@@ -58,6 +60,11 @@
                 "edge_configuration_version",
                 "Version of the configuration in force",
             )?,
+            hints_dropped: counter(
+                &registry,
+                "edge_hints_dropped_total",
+                "Hints for other gateways that were dropped",
+            )?,
             in_flight: gauge(&registry, "edge_requests_in_flight", "Requests in flight")?,
             registry,
         })
--- a/ibiscroft-edge/src/reply.rs
+++ b/ibiscroft-edge/src/reply.rs
@@ -25,6 +25,8 @@
         Overloaded,
         /// The targets that were tried refused the request.
         Shed,
+        /// The request crashed the targets that ran it.
+        Quarantined,
         /// The request was sent and its answer was lost.
         AnswerLost,
         /// The request was sent and not answered in time.
@@ -36,7 +38,7 @@
     /// Returns the status for callers.
     pub(crate) const fn status(self) -> StatusCode {
         match self {
-            Self::NotReady | Self::NoTarget | Self::Overloaded | Self::Shed => {
+            Self::NotReady | Self::NoTarget | Self::Overloaded | Self::Shed | Self::Quarantined => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -62,6 +64,7 @@
             Self::NoTarget => "no_target",
             Self::Overloaded => "overloaded",
             Self::Shed => "shed",
+            Self::Quarantined => "quarantined",
             Self::AnswerLost => "answer_lost",
             Self::TimedOut => "timed_out",
         }
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -8,15 +8,17 @@
 use arc_swap::ArcSwap;
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::{
-    ColdShares, FleetSize, GatewayCount, Health, ProbeBudget, RetryTerms, RetryWindow, Route,
+    ColdShares, FleetSize, GatewayCount, Health, Hint, ProbeBudget, RetryTerms, RetryWindow, Route,
     Split, Verdict, View,
 };
 use ibiscroft_core::ids::{ServiceName, TargetName};
+use tokio::sync::mpsc;
 
 use crate::clock::Clock;
 use crate::link_pool::LinkPool;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
+use crate::suspects::Suspects;
 
 /// Part of the fleet's health checks that is used; the rest covers uneven traffic.
 const PROBE_SAFETY: f64 = 0.9;
@@ -40,6 +42,8 @@
     pub(crate) metrics: Metrics,
     /// Idle connections to targets.
     pub(crate) pool: LinkPool,
+    /// What the traffic thread saw that other gateways must know.
+    pub(crate) hints: mpsc::Sender<Hint>,
     /// Set once a planned stop began.
     pub(crate) is_closing: AtomicBool,
     /// Set once the view was as new as the store.
@@ -63,6 +67,8 @@
     pub(crate) split: Split,
     /// Requests to cold targets.
     pub(crate) cold: ColdShares,
+    /// Requests that crash targets.
+    pub(crate) suspects: Suspects,
     /// Gateways that share the fleet's budgets.
     pub(crate) gateways: FleetSize,
     probes: ProbeBudget,
@@ -126,13 +132,17 @@
 
 impl Shared {
     /// Makes the handles of a daemon that knows nothing yet.
-    pub(crate) fn new(settings: Settings) -> Result<Arc<Self>, prometheus::Error> {
+    pub(crate) fn new(
+        settings: Settings,
+        hints: mpsc::Sender<Hint>,
+    ) -> Result<Arc<Self>, prometheus::Error> {
         Ok(Arc::new(Self {
             settings,
             clock: Clock::start(),
             view: ArcSwap::from_pointee(View::default()),
             metrics: Metrics::new()?,
             pool: LinkPool::default(),
+            hints,
             is_closing: AtomicBool::new(false),
             is_current: AtomicBool::new(false),
             local: Mutex::default(),
@@ -167,6 +177,15 @@
         self.local().probes.take(self.clock.now(), rate, necessary)
     }
 
+    /// Tells other gateways what was seen; dropped and counted when control is behind.
+    pub(crate) fn tell(&self, hints: impl IntoIterator<Item = Hint>) {
+        for hint in hints {
+            if self.hints.try_send(hint).is_err() {
+                self.metrics.hints_dropped.inc();
+            }
+        }
+    }
+
     /// Returns whether a planned stop began.
     pub(crate) fn is_closing(&self) -> bool {
         self.is_closing.load(Ordering::Relaxed)
