fix(edge): followers get each change, also one that was known here too early

Cause, from the logs: edge-mittelland-bern-3 started while the store came back and read an old listing that already held version 10; then it followed a gateway at revision 99. The change to version 10 made no difference to it, so it did not hand it on, and bern-2, at revision 99 or 100 with version 8, believed it had everything up to 114. Ruled out: a late reader; the others had version 10 within 0.4 s. Change: a listing without a known revision is forgotten with the first that has one; the first update after a listing and every configuration go to followers as they came; a follower tells a gap from the revision that an update follows on. History and relay are parts of the core. Tests: the same sequence in fleet::feed (failed first), gaps, what is kept.

--- a/ibiscroft-core/src/fleet/change.rs
+++ b/ibiscroft-core/src/fleet/change.rs
@@ -39,6 +39,8 @@
 /// Changes that were read together.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Update {
+    /// Revision that the changes follow on; anything before it is not among them.
+    pub since: Revision,
     /// Revision of the store that the changes lead to.
     pub revision: Revision,
     /// Whether they are everything there is, so that what is not among them is gone.
--- a/ibiscroft-core/src/fleet/view.rs
+++ b/ibiscroft-core/src/fleet/view.rs
@@ -37,8 +37,12 @@
         if update.revision < self.revision {
             return Vec::new();
         }
+        let is_first = self.revision == Revision(0);
         self.revision = update.revision;
         let mut made = Vec::new();
+        if is_first && update.is_full {
+            self.forget_listing();
+        }
         if update.is_full {
             for change in self.absent(&update.changes) {
                 self.apply_one(now, change, &mut made);
@@ -50,6 +54,12 @@
         made
     }
 
+    /// Returns whether nothing lies between the view and an update.
+    #[must_use]
+    pub fn meets(&self, update: &Update) -> bool {
+        update.is_full || update.since <= self.revision
+    }
+
     /// Notes that the store answers again after it was away.
     pub fn note_store_back(&mut self, now: Tick) {
         self.grace_until = now + LAPSE_GRACE;
@@ -77,7 +87,14 @@
         changes.extend(self.targets.values().cloned().map(Change::Target));
         changes.extend(self.members.values().cloned().map(Change::Member));
         changes.extend(self.gateways.map(Change::Gateways));
-        Update { revision: self.revision, is_full: true, changes, hints: Vec::new(), age }
+        Update {
+            since: Revision(0),
+            revision: self.revision,
+            is_full: true,
+            changes,
+            hints: Vec::new(),
+            age,
+        }
     }
 
     /// Returns the configuration in force.
@@ -144,6 +161,13 @@
         self.zones_out.iter()
     }
 
+    /// Forgets what came from a listing without a known revision, but for the configuration.
+    fn forget_listing(&mut self) {
+        self.targets.clear();
+        self.members.clear();
+        self.zones_out.clear();
+    }
+
     /// Returns the removals that a full listing implies.
     fn absent(&self, listed: &[Change]) -> Vec<Change> {
         let mut targets: BTreeSet<&TargetName> = self.targets.keys().collect();
--- a/ibiscroft-core/tests/it/fleet/feed.rs
+++ b/ibiscroft-core/tests/it/fleet/feed.rs
@@ -3,9 +3,12 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use ibiscroft_core::fleet::{Feed, Member, Source};
+use ibiscroft_core::fleet::{
+    Change, Feed, FeedHistory, Member, Relay, Revision, Source, Target, Update, View,
+};
+use ibiscroft_core::ids::{Generation, TargetName};
 
-use super::world::member;
+use super::world::{configuration, delta, full, member, target};
 use crate::support::at;
 
 fn fleet() -> Vec<Member> {
@@ -118,3 +121,140 @@
     let stronger = member("new", "a", 9);
     assert!(Feed::should_register(&stronger, members.iter()));
 }
+
+#[test]
+fn a_follower_gets_each_change_it_lacks_or_everything() {
+    struct Case {
+        name: &'static str,
+        begins: Option<u64>,
+        pushed: std::ops::RangeInclusive<u64>,
+        follower: u64,
+        messages: Option<usize>,
+    }
+    let none = std::ops::RangeInclusive::new(1, 0);
+    let cases = [
+        Case {
+            name: "nothing known",
+            begins: None,
+            pushed: none.clone(),
+            follower: 9,
+            messages: None,
+        },
+        Case {
+            name: "only what may be old is known: a follower that knows more still lacks changes",
+            begins: None,
+            pushed: none.clone(),
+            follower: 99,
+            messages: None,
+        },
+        Case {
+            name: "behind",
+            begins: Some(101),
+            pushed: none.clone(),
+            follower: 99,
+            messages: None,
+        },
+        Case { name: "level", begins: Some(101), pushed: none, follower: 101, messages: Some(0) },
+        Case {
+            name: "some missed",
+            begins: Some(10),
+            pushed: 11..=20,
+            follower: 15,
+            messages: Some(5),
+        },
+        Case {
+            name: "before the beginning",
+            begins: Some(10),
+            pushed: 11..=20,
+            follower: 9,
+            messages: None,
+        },
+        Case {
+            name: "before what is kept",
+            begins: Some(0),
+            pushed: 1..=100,
+            follower: 35,
+            messages: None,
+        },
+        Case {
+            name: "all that is kept",
+            begins: Some(0),
+            pushed: 1..=100,
+            follower: 36,
+            messages: Some(64),
+        },
+    ];
+    for case in cases {
+        let mut history = FeedHistory::default();
+        if let Some(begins) = case.begins {
+            history.begin(Revision(begins));
+        }
+        for revision in case.pushed {
+            history.push(Revision(revision), revision);
+        }
+        let found = history.after(Revision(case.follower)).map(|messages| messages.len());
+        assert_eq!(found, case.messages, "{}", case.name);
+    }
+}
+
+#[test]
+fn an_update_beyond_a_gap_is_told_apart() {
+    let mut view = View::default();
+    view.apply(at(0), full(99, vec![]));
+    let update = |since, is_full| Update { since: Revision(since), is_full, ..full(101, vec![]) };
+    for (since, is_full, meets) in
+        [(99, false, true), (90, false, true), (100, false, false), (100, true, true)]
+    {
+        assert_eq!(view.meets(&update(since, is_full)), meets, "since {since}, full {is_full}");
+    }
+}
+
+/// A gateway that reads an old listing before it follows another.
+#[test]
+fn a_change_known_too_early_still_reaches_followers() {
+    let config = |version| Change::Configuration(Box::new(configuration(version, vec![])));
+    let entry = |sequence| Change::Target(Target { sequence, ..target("t1", "a") });
+    let listing = Update { since: Revision(0), ..full(0, vec![config(10), entry(7)]) };
+    let upstream = [
+        full(99, vec![config(8), entry(6)]),
+        Update { since: Revision(99), ..delta(102, vec![config(10), entry(7)]) },
+    ];
+    let mut view = View::default();
+    let mut relay = Relay::default();
+    let mut history = FeedHistory::default();
+    view.apply(at(0), listing);
+    for update in upstream {
+        let made = view.apply(at(1), update.clone());
+        let changes = relay.changes(&update, &made);
+        if update.is_full {
+            history.begin(update.revision);
+        } else {
+            history.push(update.revision, Update { changes, ..update });
+        }
+    }
+    let mut follower = View::default();
+    follower.apply(at(0), full(100, vec![config(8), entry(6)]));
+    for update in history.after(Revision(100)).unwrap() {
+        follower.apply(at(2), update);
+    }
+    assert_eq!(follower.version(), Generation(10));
+    let known = follower.targets().next().unwrap();
+    assert_eq!(known.sequence, 7);
+}
+
+#[test]
+fn later_updates_leave_out_what_makes_no_difference() {
+    let mut view = View::default();
+    let mut relay = Relay::default();
+    let entry = |sequence| Change::Target(Target { sequence, ..target("t1", "a") });
+    let updates = [
+        (full(1, vec![entry(1)]), 1),
+        (delta(2, vec![entry(2)]), 1),
+        (delta(3, vec![entry(3)]), 0),
+        (delta(4, vec![Change::TargetGone(TargetName::new("t1"))]), 1),
+    ];
+    for (update, told) in updates {
+        let made = view.apply(at(0), update.clone());
+        assert_eq!(relay.changes(&update, &made).len(), told, "revision {}", update.revision);
+    }
+}
--- a/ibiscroft-core/tests/it/fleet/world.rs
+++ b/ibiscroft-core/tests/it/fleet/world.rs
@@ -66,6 +66,7 @@
 
 pub(super) fn full(revision: u64, changes: Vec<Change>) -> Update {
     Update {
+        since: Revision(0),
         revision: Revision(revision),
         is_full: true,
         changes,
--- a/ibiscroft-edge/src/feed_hub.rs
+++ b/ibiscroft-edge/src/feed_hub.rs
@@ -1,20 +1,18 @@
 //! Recent updates, for gateways that follow this one.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::{GatewayCount, Hint, Revision, Update, View};
+use ibiscroft_core::fleet::{FeedHistory, GatewayCount, Hint, Revision, Update, View};
 use tokio::sync::broadcast;
 
 use crate::events::event;
 
 /// Updates that may wait for one follower before it is served anew.
 const FOLLOWER_QUEUE: usize = 64;
-/// Updates kept for followers that come or come back; at two a second half a minute of changes.
-const KEPT_UPDATES: usize = 64;
 
 /// Age stated for a view whose age the sender does not know; any view is stale long before.
 const UNKNOWN_AGE: Duration = Duration::from_secs(3_600);
@@ -43,14 +41,6 @@
     }
 }
 
-#[derive(Debug, Default)]
-struct History {
-    /// Revision after which each change is kept.
-    complete_after: Revision,
-    /// Updates with changes, the oldest first.
-    updates: VecDeque<FeedMessage>,
-}
-
 /// All that a view holds, as a message.
 #[derive(Debug)]
 struct Everything {
@@ -62,7 +52,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct FeedHub {
     tx: broadcast::Sender<FeedMessage>,
-    history: Arc<Mutex<History>>,
+    history: Arc<Mutex<FeedHistory<FeedMessage>>>,
     everything: Arc<Mutex<Option<Everything>>>,
     /// Hints on their way to the gateway that this one follows.
     upstream: broadcast::Sender<Hint>,
@@ -84,19 +74,14 @@
         }
     }
 
-    /// Hands on an update that followed one at revision `before`.
-    pub(crate) fn send(&self, before: Revision, message: FeedMessage) {
+    /// Hands on an update.
+    pub(crate) fn send(&self, message: FeedMessage) {
         let mut history = self.history();
-        if !message.update.changes.is_empty() {
-            if history.updates.is_empty() {
-                history.complete_after = before;
-            }
-            history.updates.push_back(message.clone());
-        }
-        if history.updates.len() > KEPT_UPDATES
-            && let Some(oldest) = history.updates.pop_front()
-        {
-            history.complete_after = oldest.update.revision;
+        let update = &message.update;
+        if update.is_full {
+            history.begin(update.revision);
+        } else if !update.changes.is_empty() {
+            history.push(update.revision, message.clone());
         }
         drop(history);
         // Without a follower there is nobody to tell.
@@ -105,8 +90,14 @@
 
     /// Hands hints on to the followers.
     pub(crate) fn spread(&self, revision: Revision, hints: Vec<Hint>, now: Tick) {
-        let update =
-            Update { revision, is_full: false, changes: Vec::new(), hints, age: UNKNOWN_AGE };
+        let update = Update {
+            since: revision,
+            revision,
+            is_full: false,
+            changes: Vec::new(),
+            hints,
+            age: UNKNOWN_AGE,
+        };
         match FeedMessage::new(update, now) {
             // Without a follower there is nobody to tell.
             Ok(message) => drop(self.tx.send(message)),
@@ -131,12 +122,7 @@
         revision: Revision,
     ) -> (Option<Vec<FeedMessage>>, broadcast::Receiver<FeedMessage>) {
         let history = self.history();
-        let rx = self.tx.subscribe();
-        if history.updates.is_empty() || revision < history.complete_after {
-            return (None, rx);
-        }
-        let missed = history.updates.iter().filter(|kept| kept.update.revision > revision);
-        (Some(missed.cloned().collect()), rx)
+        (history.after(revision), self.tx.subscribe())
     }
 
     /// Returns a message with all that a view holds; it is encoded once for each view.
@@ -172,7 +158,7 @@
         GatewayCount(1 + followers.values().map(|count| count.get()).sum::<u32>())
     }
 
-    fn history(&self) -> MutexGuard<'_, History> {
+    fn history(&self) -> MutexGuard<'_, FeedHistory<FeedMessage>> {
         self.history.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -9,7 +9,8 @@
 use eyre::WrapErr;
 use futures_util::{SinkExt, StreamExt};
 use ibiscroft_core::fleet::{
-    Change, Feed, GatewayCount, Hint, Member, Revision, SizeKeeper, Source, Told, Update, View,
+    Change, Feed, GatewayCount, Hint, Member, Relay, Revision, SizeKeeper, Source, Told, Update,
+    View,
 };
 use tokio::net::TcpStream;
 use tokio_tungstenite::WebSocketStream;
@@ -49,6 +50,7 @@
     feed: Feed,
     view: View,
     hub: FeedHub,
+    relay: Relay,
     keeper: SizeKeeper,
 }
 
@@ -58,7 +60,15 @@
         let settings = &shared.settings;
         let feed = Feed::new(settings.instance.clone(), settings.availability_zone.clone());
         let reader = StoreReader::new(Arc::clone(&shared), registry);
-        Self { shared, reader, feed, view: View::default(), hub, keeper: SizeKeeper::default() }
+        Self {
+            shared,
+            reader,
+            feed,
+            view: View::default(),
+            hub,
+            relay: Relay::default(),
+            keeper: SizeKeeper::default(),
+        }
     }
 
     /// Follows the best source until the runtime ends.
@@ -159,6 +169,11 @@
             };
             match next {
                 Ok(Some(Ok(message))) => match mesh::decode(message) {
+                    Ok(Some(update)) if !self.view.meets(&update) => {
+                        let (own, since) = (self.view.revision(), update.since);
+                        let gap = format!("changes after {own} and up to {since} are missing");
+                        return Followed::Failed(gap);
+                    }
                     Ok(Some(update)) => self.take(update, "peer"),
                     Ok(None) => {}
                     Err(error) => return Followed::Failed(format!("message: {error:#}")),
@@ -198,8 +213,9 @@
             self.feed.note_fresh(now, update.age);
             self.shared.is_current.store(true, Ordering::Relaxed);
         }
-        let made = self.view.apply(now, update);
-        self.publish(before, made, source);
+        let made = self.view.apply(now, update.clone());
+        let told = self.relay.changes(&update, &made);
+        self.publish(before, &made, told, source);
     }
 
     /// Uses hints of the gateway that this one follows and hands them on.
@@ -216,16 +232,16 @@
         let before = self.view.revision();
         let made = self.view.expire(self.shared.clock.now());
         if !made.is_empty() {
-            self.publish(before, made, "grace_ended");
+            self.publish(before, &made, made.clone(), "grace_ended");
         }
     }
 
     /// Tells the traffic thread and the followers.
-    fn publish(&self, before: Revision, made: Vec<Change>, source: &str) {
+    fn publish(&self, before: Revision, made: &[Change], told: Vec<Change>, source: &str) {
         let now = self.shared.clock.now();
         let revision = self.view.revision();
         let age = self.feed.age(now);
-        log_changes(revision, &made, source, age);
+        log_changes(revision, made, source, age);
         if !made.is_empty() {
             let version = i64::try_from(self.view.version().get()).unwrap_or(i64::MAX);
             self.shared.metrics.configuration_version.set(version);
@@ -237,9 +253,18 @@
                 self.shared.local().retain_routes(configuration.routes());
             }
         }
-        let update = Update { revision, is_full: false, changes: made, hints: Vec::new(), age };
+        if revision == Revision(0) {
+            // What may be old is of no use to others.
+            return;
+        }
+        let update = if before == Revision(0) {
+            self.view.full(age)
+        } else {
+            let hints = Vec::new();
+            Update { since: before, revision, is_full: false, changes: told, hints, age }
+        };
         match FeedMessage::new(update, now) {
-            Ok(message) => self.hub.send(before, message),
+            Ok(message) => self.hub.send(message),
             Err(error) => event!(MeshRefused, "reason={:?}", format!("encode: {error:#}")),
         }
     }
