--- a/ibiscroft-edge/src/filters/identify.rs
+++ b/ibiscroft-edge/src/filters/identify.rs
@@ -71,7 +71,15 @@
     let path_and_query = path_and_query.map_or_else(|| "/".to_string(), ToString::to_string);
     let method = req.method().clone();
     let body = read_body(req, configuration).await?;
-    let parts = [host.as_bytes(), method.as_str().as_bytes(), path_and_query.as_bytes(), &body];
+    let caller = req.remote_addr().as_socket_addr().map(|address| address.ip().to_string());
+    let caller = caller.unwrap_or_default();
+    let parts = [
+        caller.as_bytes(),
+        host.as_bytes(),
+        method.as_str().as_bytes(),
+        path_and_query.as_bytes(),
+        &body,
+    ];
     let fingerprint = Fingerprint::new(parts);
     let mut headers = std::mem::take(req.headers_mut());
     remove_hop_by_hop(&mut headers);
--- /dev/null
+++ b/ibiscroft-edge/tests/it/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the edge daemon's tables.
+
+mod catalogue;
