fix(edge): a request that may have run is never said not to have

Cause: a send that was lost and a second one that was refused ended in 503, the promise that nothing ran; found in the read-through. Orders were never affected, as a lost order is not sent again. Change: such a request gets the earlier failure, 502. Test: process answers, CloseUnanswered then Shed: 503 before, 502 now.

--- a/ibiscroft-edge/src/filters/forward.rs
+++ b/ibiscroft-edge/src/filters/forward.rs
@@ -42,6 +42,18 @@
     tried: Vec<TargetName>,
     sent: u32,
     unsent: u32,
+    /// The failure of the last send that may have run.
+    may_have_run: Option<Failure>,
+}
+
+impl Progress {
+    /// Returns what the caller is told: a request that may have run is never said not to have.
+    fn honest(&self, failure: Failure) -> Failure {
+        match &self.may_have_run {
+            Some(earlier) if failure.kind.is_unrun() => earlier.clone(),
+            _ => failure,
+        }
+    }
 }
 
 impl<D: Dialect> Forward<D> {
@@ -59,12 +71,15 @@
         loop {
             let chosen = match select::<D>(shared, ex, &progress.tried).await {
                 Ok(chosen) => chosen,
-                Err(none) => return Err(last.unwrap_or_else(|| self.no_target(ex, &none))),
+                Err(none) => {
+                    let failure = last.unwrap_or_else(|| self.no_target(ex, &none));
+                    return Err(progress.honest(failure));
+                }
             };
             if let Some(failure) = self.too_late(ex, &chosen) {
                 let Chosen { target, link, .. } = chosen;
                 shared.pool.put(&target.name, link);
-                return Err(last.unwrap_or(failure));
+                return Err(progress.honest(last.unwrap_or(failure)));
             }
             let error = match self.attempt(ex, chosen, &mut progress).await {
                 Ok(answer) => return Ok(answer),
@@ -79,8 +94,11 @@
                 SendError::TimedOut => false,
             };
             let failure = self.failure(ex, error);
+            if !failure.kind.is_unrun() {
+                progress.may_have_run = Some(failure.clone());
+            }
             if !may_repeat || shared.clock.now() >= ex.deadline {
-                return Err(failure);
+                return Err(progress.honest(failure));
             }
             last = Some(failure);
         }
