--- a/ibiscroft-edge/src/filters/select.rs
+++ b/ibiscroft-edge/src/filters/select.rs
@@ -1,5 +1,7 @@
 //! Chooses a target by asking a few of them right before the send.
 
+mod candidates;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,25 +12,16 @@
     ColdShare, GatewayCount, Probing, Repeatable, Report, Step, Target, Verdict, View,
 };
 use ibiscroft_core::ids::TargetName;
-use ibiscroft_core::rendezvous;
-use rand::seq::SliceRandom;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use self::candidates::Candidates;
 use crate::dialect::{Dialect, HealthFacts};
 use crate::events::event;
 use crate::exchange::Exchange;
 use crate::link::{self, Link};
 use crate::shared::Shared;
 
-/// Targets that are asked at first.
-const ASK: usize = 3;
-/// Targets of the own zone that are asked in each further round.
-const ASK_NEAR: usize = 2;
-/// Targets of other zones that are asked in each further round.
-const ASK_FAR: usize = 2;
-/// Targets of a service and zone that a gateway asks first.
-const SUBSET: usize = 10;
 /// Wait for answers before further targets are asked: a few round trips between zones and a new
 /// connection.
 const PATIENCE: Duration = Duration::from_millis(25);
@@ -114,80 +107,6 @@
     chosen.ok_or(NoneChosen { usable, asked })
 }
 
-/// The usable targets of a service, each list with the next to ask at its end.
-struct Candidates {
-    /// Those of the gateway's own zone that answered when last asked.
-    near: Vec<Target>,
-    /// Those of other zones that answered when last asked.
-    far: Vec<Target>,
-    /// Those that could not be reached lately.
-    paused: Vec<Target>,
-}
-
-impl Candidates {
-    fn new(shared: &Shared, view: &View, ex: &Exchange, tried: &[TargetName]) -> Self {
-        let now = shared.clock.now();
-        let own = &shared.settings.availability_zone;
-        let local = shared.local();
-        let mut found = Self { near: Vec::new(), far: Vec::new(), paused: Vec::new() };
-        for target in view.usable(&ex.service) {
-            if tried.contains(&target.name) {
-                continue;
-            }
-            let list = if local.health(&target.name).is_paused(now) {
-                &mut found.paused
-            } else if target.zone == *own {
-                &mut found.near
-            } else {
-                &mut found.far
-            };
-            list.push(target.clone());
-        }
-        let instance = shared.settings.instance.as_str();
-        for list in [&mut found.near, &mut found.far, &mut found.paused] {
-            order(list, instance);
-            list.sort_by_key(|target| std::cmp::Reverse(local.was_slow(now, &target.name)));
-        }
-        drop(local);
-        found
-    }
-
-    fn len(&self) -> usize {
-        self.near.len() + self.far.len() + self.paused.len()
-    }
-
-    /// Returns the targets to ask next: near ones first, then some of each kind.
-    fn next_round(&mut self, is_first: bool) -> Vec<Target> {
-        let mut round = Vec::new();
-        if is_first {
-            round.extend(take(&mut self.near, ASK));
-            round.extend(take(&mut self.far, ASK - round.len()));
-        } else {
-            round.extend(take(&mut self.near, ASK_NEAR));
-            round.extend(take(&mut self.far, ASK_FAR));
-        }
-        if round.is_empty() {
-            round.extend(take(&mut self.paused, ASK));
-        }
-        round
-    }
-}
-
-fn take(list: &mut Vec<Target>, count: usize) -> Vec<Target> {
-    list.split_off(list.len().saturating_sub(count))
-}
-
-/// Puts the targets of this gateway's subset last, each part in random order.
-///
-/// A gateway that keeps to a subset keeps its connections in use; the subsets of many gateways
-/// cover all targets alike.
-fn order(list: &mut [Target], instance: &str) {
-    list.sort_by_cached_key(|target| rendezvous::weight(instance, target.name.as_str()));
-    let beyond = list.len().saturating_sub(SUBSET);
-    list[..beyond].shuffle(&mut rand::rng());
-    list[beyond..].shuffle(&mut rand::rng());
-}
-
 /// The targets that one request asked, and their answers.
 struct Round {
     targets: Vec<Target>,
