fix(edge): a daemon that starts beside a silent source does not wait for it for ever

Cause: before its view was current once, a follower that heard nothing woke at once, again and again, and never read the store; with a gateway that accepts and tells nothing it never became ready, and each start spun until the first word. Found in the read-through. Change: the first word must come within a second, else the next source or the store.

--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -24,6 +24,9 @@
 
 /// Longest time to open a connection to another gateway and to get its view.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait of a gateway that just started for the first word of how fresh its source is;
+/// above the regular silence of a reader.
+const FIRST_WORD: Duration = Duration::from_millis(1_000);
 /// Longest time to hand a message to a connection; a fraction of the time after which a view is
 /// stale.
 const TELL_TIMEOUT: Duration = Duration::from_millis(100);
@@ -146,6 +149,7 @@
                 return Followed::Failed(format!("no connection within {ms} ms"));
             }
         };
+        let opened_at = self.shared.clock.now();
         let mut told = GatewayCount(0);
         let mut hints = self.hub.upstream();
         loop {
@@ -156,7 +160,11 @@
                     return Followed::Failed(format!("count of gateways: {error:#}"));
                 }
             }
-            let wake = self.feed.stale_at().max(self.shared.clock.now() + self.reader.pause());
+            let wake = if self.was_current() {
+                self.feed.stale_at().max(self.shared.clock.now() + self.reader.pause())
+            } else {
+                opened_at + FIRST_WORD
+            };
             let wake = self.shared.clock.instant(wake);
             let next = tokio::select! {
                 next = tokio::time::timeout_at(wake, stream.next()) => next,
@@ -181,7 +189,7 @@
                 Ok(Some(Err(error))) => return Followed::Failed(error.to_string()),
                 Ok(None) => return Followed::Failed("the connection ended".to_string()),
                 Err(_) => {
-                    if self.read_if_stale().await {
+                    if !self.was_current() || self.read_if_stale().await {
                         return Followed::Failed("it told nothing fresh".to_string());
                     }
                 }
@@ -197,9 +205,13 @@
     ///
     /// A gateway whose view never was current tries the other sources first.
     async fn read_if_stale(&mut self) -> bool {
-        let was_current = self.shared.is_current.load(Ordering::Relaxed);
         let is_stale = self.shared.clock.now() >= self.feed.stale_at();
-        was_current && is_stale && self.read_store().await
+        self.was_current() && is_stale && self.read_store().await
+    }
+
+    /// Returns whether the view was as new as the store at some time.
+    fn was_current(&self) -> bool {
+        self.shared.is_current.load(Ordering::Relaxed)
     }
 
     fn take(&mut self, update: Update, source: &str) {
