fix(edge): a request asks on while no target is known that can be sent to

Cause: only the first question of a request was exempt from the budget of health checks, and targets that the budget left out were not offered to later rounds.

Ruled out: silent targets as such; those asked were alive.

Change: as long as no target is known that can be sent to, one question a round is always allowed, and targets that were not asked stay candidates.

--- a/ibiscroft-edge/src/filters/select.rs
+++ b/ibiscroft-edge/src/filters/select.rs
@@ -93,7 +93,7 @@
     for limit in ACCEPTED_COSTS {
         let asked = candidates.next_round(round.targets.is_empty());
         let is_last = asked.is_empty();
-        round.ask::<D>(shared, ex, asked);
+        candidates.put_back(round.ask::<D>(shared, ex, asked));
         round.collect(shared, &view, ex, if is_last { ANSWER_LIMIT } else { PATIENCE }).await;
         if is_last || round.probing.best().is_some_and(|(cost, _)| cost <= limit) {
             break;
@@ -122,10 +122,18 @@
         Self { targets: Vec::new(), links: Vec::new(), probing: Probing::default(), tx, rx }
     }
 
-    /// Asks targets, as far as the budget of health checks allows; the first one always.
-    fn ask<D: Dialect>(&mut self, shared: &Arc<Shared>, ex: &Exchange, mut targets: Vec<Target>) {
+    /// Asks targets, as far as the budget of health checks allows; while none is known that can be
+    /// sent to, one in each round always. Returns the targets that were not asked.
+    fn ask<D: Dialect>(
+        &mut self,
+        shared: &Arc<Shared>,
+        ex: &Exchange,
+        mut targets: Vec<Target>,
+    ) -> Vec<Target> {
+        let mut is_necessary = self.probing.best().is_none();
         while let Some(target) = targets.pop() {
-            if !shared.take_probe(self.targets.is_empty()) {
+            if !shared.take_probe(std::mem::take(&mut is_necessary)) {
+                targets.push(target);
                 break;
             }
             let index = self.targets.len();
@@ -141,6 +149,7 @@
             };
             tokio::spawn(question.ask::<D>());
         }
+        targets
     }
 
     /// Takes answers until one is good, all have come or `patience` is over.
--- a/ibiscroft-edge/src/filters/select/candidates.rs
+++ b/ibiscroft-edge/src/filters/select/candidates.rs
@@ -1,7 +1,7 @@
 //! The order in which targets are asked.
 
 use ibiscroft_core::fleet::{Target, View};
-use ibiscroft_core::ids::TargetName;
+use ibiscroft_core::ids::{TargetName, ZoneName};
 use ibiscroft_core::rendezvous;
 use rand::seq::SliceRandom;
 
@@ -19,6 +19,8 @@
 
 /// The usable targets of a service, each list with the next to ask at its end.
 pub(super) struct Candidates {
+    /// The gateway's own zone.
+    zone: ZoneName,
     /// Those of the gateway's own zone that answered when last asked.
     near: Vec<Target>,
     /// Those of other zones that answered when last asked.
@@ -33,7 +35,8 @@
         let now = shared.clock.now();
         let own = &shared.settings.availability_zone;
         let local = shared.local();
-        let mut found = Self { near: Vec::new(), far: Vec::new(), paused: Vec::new() };
+        let zone = own.clone();
+        let mut found = Self { zone, near: Vec::new(), far: Vec::new(), paused: Vec::new() };
         for target in view.usable(&ex.service) {
             if tried.contains(&target.name) {
                 continue;
@@ -56,6 +59,13 @@
         found
     }
 
+    /// Takes back targets that were not asked; they are the next ones.
+    pub(super) fn put_back(&mut self, targets: Vec<Target>) {
+        for target in targets {
+            if target.zone == self.zone { self.near.push(target) } else { self.far.push(target) }
+        }
+    }
+
     /// Returns the number of targets left.
     pub(super) fn len(&self) -> usize {
         self.near.len() + self.far.len() + self.paused.len()
