fix(edge): targets are compared before the view is current

Cause: until a daemon's view had been as new as the store, its part of the health checks was zero, so each request went to the one target it asked.

Ruled out: the number of gateways being unknown then; the listing that a daemon starts from holds it, and without one 32 are assumed.

Change: the budget of health checks is the same from the first listing on.

--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -171,9 +171,7 @@
         let view = self.view.load();
         let targets = view.targets().count() as f64;
         let gateways = f64::from(self.gateways().get());
-        // Before the view is current, the number of gateways that share the budget is unknown.
-        let part = if self.is_current.load(Ordering::Relaxed) { PROBE_SAFETY } else { 0.0 };
-        let rate = self.settings.probes_per_s * part * targets / gateways;
+        let rate = self.settings.probes_per_s * PROBE_SAFETY * targets / gateways;
         self.local().probes.take(self.clock.now(), rate, necessary)
     }
 
