perf(edge): requests wait for the first configuration of a daemon that has just started

Cause: after a cut of all machines callers reach a daemon some 170 ms before its first listing has arrived over its own link, and got 503 at once.

Ruled out: a smaller first listing; the store's answers have no shorter form.

Change: for the first 0.6 s of the process a request waits for the configuration; after that it is refused at once as before.

--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -262,6 +262,7 @@
                 self.shared.local().gateways.note(now, count);
             }
             if let Some(configuration) = self.view.configuration() {
+                self.shared.has_configuration.send_replace(true);
                 self.shared.local().retain_routes(configuration.routes());
             }
         }
--- a/ibiscroft-edge/src/server.rs
+++ b/ibiscroft-edge/src/server.rs
@@ -31,6 +31,7 @@
 
     async fn serve(&self, mut req: Request) -> Reply {
         let received = self.shared.clock.now();
+        self.shared.first_configuration().await;
         match identify::<D>(&mut req, &self.shared, received).await {
             Ok(ex) => self.chain.handle(&ex).await,
             Err(failure) => {
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -12,7 +12,7 @@
     Split, Verdict, View,
 };
 use ibiscroft_core::ids::{ServiceName, TargetName};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::clock::Clock;
 use crate::link_pool::LinkPool;
@@ -26,6 +26,9 @@
 const SLOW_LASTS: Duration = Duration::from_millis(80);
 /// Cost above which a target is slow.
 const SLOW_COST: f64 = 1.9;
+/// Time after the start of the process in which the first configuration is about to come: several
+/// times what a listing takes on a slow link.
+const FIRST_CONFIGURATION: Duration = Duration::from_millis(600);
 /// Weight of the newest answer in the usual time of a kind of work.
 const NEWEST: f64 = 0.1;
 
@@ -48,6 +51,8 @@
     pub(crate) is_closing: AtomicBool,
     /// Set once the view was as new as the store.
     pub(crate) is_current: AtomicBool,
+    /// Becomes true once a configuration is known.
+    pub(crate) has_configuration: watch::Sender<bool>,
     local: Mutex<Local>,
 }
 
@@ -145,6 +150,7 @@
             hints,
             is_closing: AtomicBool::new(false),
             is_current: AtomicBool::new(false),
+            has_configuration: watch::Sender::new(false),
             local: Mutex::default(),
         }))
     }
@@ -175,6 +181,17 @@
         self.local().probes.take(self.clock.now(), rate, necessary)
     }
 
+    /// Waits for the first configuration while the process has just started.
+    pub(crate) async fn first_configuration(&self) {
+        if *self.has_configuration.borrow() {
+            return;
+        }
+        let mut known = self.has_configuration.subscribe();
+        let until = self.clock.instant(Tick::ZERO + FIRST_CONFIGURATION);
+        // Without a configuration by then the caller is told to come back.
+        let _ = tokio::time::timeout_at(until, known.wait_for(|known| *known)).await;
+    }
+
     /// Tells other gateways what was seen; dropped and counted when control is behind.
     pub(crate) fn tell(&self, hints: impl IntoIterator<Item = Hint>) {
         for hint in hints {
