fix(core): the retry window counts whole steps, and more of the budget is spent

Cause: a step of the window was dropped when its beginning left the window, so up to half a second of further sends went uncounted; a fifth of the budget was kept back to cover that.

Ruled out: max_attempts; the second send was denied by the budget.

Change: steps are kept until their end has left the window, 0.93 of the budget is spent. The test of the sliding window now allows nothing beyond the users' bound (it allowed one more); the literal of the reserve follows the new part. The new test of a shedding service failed before.

--- a/ibiscroft-core/src/fleet/retry_window.rs
+++ b/ibiscroft-core/src/fleet/retry_window.rs
@@ -9,7 +9,7 @@
 /// Steps that a window is counted in.
 const STEPS: u32 = 20;
 /// Part of the fleet's budget that is spent; the rest covers gateways with older views.
-const SAFETY: f64 = 0.8;
+const SAFETY: f64 = 0.93;
 
 /// Terms of the budget for the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -54,7 +54,9 @@
     pub fn try_retry(&mut self, now: Tick, gateways: GatewayCount, reserve: f64) -> bool {
         let floor = self.terms.floor / f64::from(gateways.get().max(1));
         self.step(now);
-        let requests: u32 = self.steps.iter().map(|step| step.requests).sum();
+        let window = self.terms.window;
+        let is_recent = |step: &&Step| now.since(step.start) <= window;
+        let requests: u32 = self.steps.iter().filter(is_recent).map(|step| step.requests).sum();
         let retries: u32 = self.steps.iter().map(|step| step.retries).sum();
         let allowed = (f64::from(requests) * self.terms.ratio + floor) * SAFETY * (1.0 - reserve);
         if f64::from(retries) + 1.0 > allowed {
@@ -66,7 +68,9 @@
 
     fn step(&mut self, now: Tick) -> &mut Step {
         let window = self.terms.window;
-        while self.steps.front().is_some_and(|step| now.since(step.start) > window) {
+        // A step that began before the window may hold further sends that lie within it.
+        let kept = window + window / STEPS;
+        while self.steps.front().is_some_and(|step| now.since(step.start) > kept) {
             self.steps.pop_front();
         }
         let is_current =
--- a/ibiscroft-core/tests/it/fleet/budgets.rs
+++ b/ibiscroft-core/tests/it/fleet/budgets.rs
@@ -41,18 +41,34 @@
         for start in &taken {
             let within = taken.iter().filter(|ms| (*start..start + 10_000).contains(*ms)).count();
             let name = format!("{} gateways, {}/s", case.gateways, case.requests_per_s);
-            assert!(within as f64 <= allowed + 1.0, "{name}: {within} of {allowed} from {start}");
+            assert!(within as f64 <= allowed, "{name}: {within} of {allowed} from {start}");
         }
     }
 }
 
+/// Targets that shed most requests at random: whatever is allowed is worth sending.
+#[test]
+fn most_of_the_retry_budget_can_be_spent_when_targets_shed() {
+    let mut window = RetryWindow::new(TERMS);
+    let gateways = GatewayCount(15);
+    let mut sent = 0;
+    for ms in 0..10_000 {
+        if ms % 20 == 0 {
+            window.note_request(at(ms));
+        }
+        sent += u32::from(window.try_retry(at(ms), gateways, 0.0));
+    }
+    let allowed = 500.0 * TERMS.ratio + TERMS.floor / 15.0;
+    assert!(f64::from(sent) >= 0.9 * allowed, "{sent} of {allowed}");
+}
+
 #[test]
 fn a_reserve_is_kept_for_more_important_sends() {
     let mut window = RetryWindow::new(TERMS);
     let one = GatewayCount(1);
     let spent = (0..100).filter(|_| window.try_retry(at(0), one, 0.5)).count();
     let rest = (0..100).filter(|_| window.try_retry(at(0), one, 0.0)).count();
-    assert_eq!((spent, rest), (23, 23));
+    assert_eq!((spent, rest), (26, 27));
 }
 
 proptest! {
