feat(core): how much slower nearly full targets are is learned per service

Cause: the cost of a target assumed that one above 0.8 of its slots takes 1.7 times as long. Fitted from the logs (idle reports, slowness 1.0): the Verband's targets of 6 slots do so (266 ms median below, 460 ms above), Vatuwaqa's of 3 slots do not at all (218 against 218 ms). There the factor made sound targets look crowded: more questions, sends to other zones, and refusals of requests that would have come in time.

Ruled out: a lower fixed factor; it would crowd the Verband's targets.

Change: Crowding learns the factor from answers of plain targets, 1.7 until then; usual times are kept without it.

--- a/ibiscroft-core/src/fleet.rs
+++ b/ibiscroft-core/src/fleet.rs
@@ -7,6 +7,7 @@
 mod change;
 mod cold_share;
 mod configuration;
+mod crowding;
 mod feed;
 mod feed_history;
 mod fleet_size;
@@ -24,6 +25,7 @@
 pub use change::{Change, Revision, Update};
 pub use cold_share::{ColdShare, ColdShares};
 pub use configuration::{CallerLimits, Configuration, ServicePolicy};
+pub use crowding::Crowding;
 pub use feed::{Feed, Source};
 pub use feed_history::FeedHistory;
 pub use fleet_size::{FleetSize, SizeKeeper};
--- a/ibiscroft-core/src/fleet/probe.rs
+++ b/ibiscroft-core/src/fleet/probe.rs
@@ -6,12 +6,11 @@
 
 use std::time::Duration;
 
+use super::crowding::Crowding;
 use crate::ids::Slots;
 
-/// Share of busy slots above which targets are slower.
+/// Share of busy slots above which targets may be slower.
 const KNEE: f64 = 0.8;
-/// Factor by which a target is slower above the knee.
-const KNEE_FACTOR: f64 = 1.7;
 /// Factor by which a cold target is slower.
 const COLD_FACTOR: f64 = 2.0;
 /// Cost up to which the first target that answered is taken.
@@ -53,15 +52,22 @@
         f64::from(self.running + self.waiting + 1) > KNEE * f64::from(self.slots.get())
     }
 
-    /// Returns the expected time of one more request, in units of its usual time.
+    /// Returns the expected time of one more request, in units of its usual time, at a target
+    /// that slows down by `crowding` when it is nearly full.
     #[must_use]
-    pub fn cost(&self) -> f64 {
+    pub fn cost(&self, crowding: Crowding) -> f64 {
+        let slowdown = if self.is_crowded() { crowding.slowdown() } else { 1.0 };
+        self.uncrowded_cost() * slowdown
+    }
+
+    /// Returns the expected time of one more request if being nearly full did not matter.
+    #[must_use]
+    pub fn uncrowded_cost(&self) -> f64 {
         let slots = f64::from(self.slots.get().max(1));
         let busy = f64::from(self.running + self.waiting) + 1.0;
-        let knee = if busy.min(slots) / slots > KNEE { KNEE_FACTOR } else { 1.0 };
         let cold = if self.cold_left.is_zero() { 1.0 } else { COLD_FACTOR };
         let queued = (busy - slots).max(0.0);
-        self.slowness * knee * cold * (1.0 + queued / slots)
+        self.slowness * cold * (1.0 + queued / slots)
     }
 }
 
@@ -77,12 +83,19 @@
 /// One request's choice among the targets that were asked.
 #[derive(Clone, Debug, Default)]
 pub struct Probing {
+    crowding: Crowding,
     asked: usize,
     ended: usize,
     best: Option<(f64, usize)>,
 }
 
 impl Probing {
+    /// Makes the choice among targets that slow down by `crowding` when they are nearly full.
+    #[must_use]
+    pub fn new(crowding: Crowding) -> Self {
+        Self { crowding, ..Self::default() }
+    }
+
     /// Counts a target that was asked.
     pub fn ask(&mut self) {
         self.asked += 1;
@@ -101,7 +114,7 @@
     ) -> Step {
         self.ended += 1;
         let illness = if report.is_healthy { 0.0 } else { ILL_COST };
-        let cost = report.cost() + extra + failure_rate * FAILURE_WEIGHT + illness;
+        let cost = report.cost(self.crowding) + extra + failure_rate * FAILURE_WEIGHT + illness;
         if self.best.is_none_or(|(least, _)| cost < least) {
             self.best = Some((cost, index));
         }
--- a/ibiscroft-core/tests/it/fleet/probing.rs
+++ b/ibiscroft-core/tests/it/fleet/probing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ibiscroft_core::fleet::{Health, Probing, Report, Step, Verdict};
+use ibiscroft_core::fleet::{Crowding, Health, Probing, Report, Step, Verdict};
 use ibiscroft_core::ids::Slots;
 
 use crate::support::at;
@@ -127,12 +127,61 @@
 
 #[test]
 fn cost_rises_with_load() {
-    let costs: Vec<f64> =
-        (0..18).map(|load| report(load.min(6), load.saturating_sub(6)).cost()).collect();
+    let costs: Vec<f64> = (0..18)
+        .map(|load| report(load.min(6), load.saturating_sub(6)).cost(Crowding::default()))
+        .collect();
     assert!(costs.windows(2).all(|pair| pair[0] <= pair[1]), "{costs:?}");
     assert!(report(3, 0).has_free_slot() && !report(6, 0).has_free_slot());
 }
 
+/// Load near the knee: what a nearly full target costs is learned, and services differ in it.
+#[test]
+fn the_slowdown_of_nearly_full_targets_is_learned() {
+    struct Case {
+        name: &'static str,
+        report: Report,
+        ratio: f64,
+        learned: std::ops::RangeInclusive<f64>,
+    }
+    let assumed = Crowding::default().slowdown();
+    let nearly_full = report(4, 0);
+    let cases = [
+        Case { name: "none", report: nearly_full, ratio: 1.0, learned: 1.0..=1.1 },
+        Case { name: "faster by chance", report: nearly_full, ratio: 0.8, learned: 1.0..=1.0 },
+        Case { name: "some", report: nearly_full, ratio: 1.7, learned: 1.65..=1.7 },
+        Case {
+            name: "a target with other trouble",
+            report: nearly_full,
+            ratio: 12.0,
+            learned: assumed..=assumed,
+        },
+        Case { name: "half full", report: report(2, 0), ratio: 1.7, learned: assumed..=assumed },
+        Case { name: "a wait line", report: report(6, 1), ratio: 1.7, learned: assumed..=assumed },
+        Case {
+            name: "a neighbour",
+            report: Report { slowness: 5.0, ..nearly_full },
+            ratio: 1.7,
+            learned: assumed..=assumed,
+        },
+        Case {
+            name: "cold",
+            report: Report { cold_left: Duration::from_secs(1), ..nearly_full },
+            ratio: 1.7,
+            learned: assumed..=assumed,
+        },
+    ];
+    for Case { name, report, ratio, learned } in cases {
+        let mut crowding = Crowding::default();
+        for _ in 0..30 {
+            crowding.note(&report, ratio);
+        }
+        assert!(learned.contains(&crowding.slowdown()), "{name}: {}", crowding.slowdown());
+        let cost = report.cost(crowding) / report.uncrowded_cost();
+        let wanted = if report.is_crowded() { crowding.slowdown() } else { 1.0 };
+        assert!((cost - wanted).abs() < 1e-9, "{name}: {cost}");
+    }
+}
+
 #[test]
 fn unreachable_targets_are_left_alone_for_longer_each_time() {
     let mut health = Health::default();
--- a/ibiscroft-edge/src/filters/forward.rs
+++ b/ibiscroft-edge/src/filters/forward.rs
@@ -113,7 +113,7 @@
         let shared = &self.shared;
         let target = chosen.target.clone();
         let name = target.name.clone();
-        let load_cost = chosen.report.cost();
+        let report = chosen.report;
         progress.tried.push(name.clone());
         let began = shared.clock.now();
         log_send(ex, &chosen, progress, began);
@@ -129,7 +129,7 @@
         let mut local = shared.local();
         local.note(now, &name, verdict);
         if verdict == Verdict::Answered {
-            local.note_time(&ex.kind, now.since(began), load_cost);
+            local.note_time(&ex.kind, now.since(began), &report);
         }
         let is_lost = matches!(sent, Err(SendError::Lost(_)));
         if is_lost {
@@ -173,8 +173,10 @@
     /// is refused while the caller can still come back; one that finds a free slot is served.
     fn too_late(&self, ex: &Exchange, chosen: &Chosen) -> Option<Failure> {
         let now = self.shared.clock.now();
-        let usual = self.shared.local().usual_time(&ex.kind)?;
-        let expected = usual.mul_f64(chosen.report.cost());
+        let local = self.shared.local();
+        let usual = local.usual_time(&ex.kind)?;
+        let expected = usual.mul_f64(chosen.report.cost(local.crowding(&ex.service)));
+        drop(local);
         let left = ex.deadline.since(now);
         let aim_left = (ex.received + ex.route.aim).since(now).min(left);
         let limit = if chosen.report.has_free_slot() { left } else { aim_left };
--- a/ibiscroft-edge/src/filters/select.rs
+++ b/ibiscroft-edge/src/filters/select.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderValue, Method, header};
 use http_body_util::BodyExt;
 use ibiscroft_core::fleet::{
-    ColdShare, GatewayCount, Probing, Repeatable, Report, Step, Target, Verdict, View,
+    ColdShare, Crowding, GatewayCount, Probing, Repeatable, Report, Step, Target, Verdict, View,
 };
 use ibiscroft_core::ids::TargetName;
 use tokio::sync::mpsc;
@@ -89,7 +89,7 @@
     let view = shared.view.load_full();
     let mut candidates = Candidates::new(shared, &view, ex, tried);
     let usable = candidates.len();
-    let mut round = Round::new();
+    let mut round = Round::new(shared.local().crowding(&ex.service));
     for limit in ACCEPTED_COSTS {
         let asked = candidates.next_round(round.targets.is_empty());
         let is_last = asked.is_empty();
@@ -117,9 +117,10 @@
 }
 
 impl Round {
-    fn new() -> Self {
+    fn new(crowding: Crowding) -> Self {
         let (tx, rx) = mpsc::unbounded_channel();
-        Self { targets: Vec::new(), links: Vec::new(), probing: Probing::default(), tx, rx }
+        let probing = Probing::new(crowding);
+        Self { targets: Vec::new(), links: Vec::new(), probing, tx, rx }
     }
 
     /// Asks targets, as far as the budget of health checks allows; while none is known that can be
@@ -199,7 +200,8 @@
         };
         let gateways = shared.gateways();
         let mut local = shared.local();
-        local.note_cost(now, &target.name, report.cost());
+        let cost = report.cost(local.crowding(&ex.service));
+        local.note_cost(now, &target.name, cost);
         let failure_rate = local.health(&target.name).failure_rate(now);
         let may_send = report.cold_left.is_zero()
             || local.cold.has_room(now, &target.name, cold_share(shared, view, target, gateways));
--- a/ibiscroft-edge/src/filters/send.rs
+++ b/ibiscroft-edge/src/filters/send.rs
@@ -59,7 +59,9 @@
             return Err(SendError::Lost("the answer belongs to another request".to_string()));
         }
         if let Some(report) = facts.report {
-            shared.local().note_cost(shared.clock.now(), &target.name, report.cost());
+            let mut local = shared.local();
+            let cost = report.cost(local.crowding(&ex.service));
+            local.note_cost(shared.clock.now(), &target.name, cost);
         }
         if let Some(refusal) = facts.refusal {
             if body.collect().await.is_ok() {
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -8,8 +8,8 @@
 use arc_swap::ArcSwap;
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::{
-    ColdShares, FleetSize, GatewayCount, Health, Hint, ProbeBudget, RetryTerms, RetryWindow, Route,
-    Split, Verdict, View,
+    ColdShares, Crowding, FleetSize, GatewayCount, Health, Hint, ProbeBudget, Report, RetryTerms,
+    RetryWindow, Route, Split, Verdict, View,
 };
 use ibiscroft_core::ids::{ServiceName, TargetName};
 use tokio::sync::{mpsc, watch};
@@ -81,6 +81,7 @@
     health: HashMap<TargetName, Health>,
     costs: HashMap<TargetName, (Tick, f64)>,
     usual: HashMap<WorkKind, f64>,
+    crowding: HashMap<ServiceName, Crowding>,
 }
 
 impl Local {
@@ -122,13 +123,24 @@
         self.costs.retain(|target, _| known(target));
     }
 
-    /// Notes the time of an answer that was expected to cost `cost` times the usual.
-    pub(crate) fn note_time(&mut self, kind: &WorkKind, time: Duration, cost: f64) {
-        let sample = time.as_secs_f64() / cost.max(1.0);
+    /// Notes the time of an answer of a target that had stated `report`.
+    pub(crate) fn note_time(&mut self, kind: &WorkKind, time: Duration, report: &Report) {
+        let uncrowded = time.as_secs_f64() / report.uncrowded_cost().max(1.0);
+        if let Some(usual) = self.usual.get(kind) {
+            let crowding = self.crowding.entry(kind.service.clone()).or_default();
+            crowding.note(report, uncrowded / usual);
+        }
+        let cost = report.cost(self.crowding(&kind.service)).max(1.0);
+        let sample = time.as_secs_f64() / cost;
         let usual = self.usual.entry(kind.clone()).or_insert(sample);
         *usual += (sample - *usual) * NEWEST;
     }
 
+    /// Returns how much slower the targets of a service are when they are nearly full.
+    pub(crate) fn crowding(&self, service: &ServiceName) -> Crowding {
+        self.crowding.get(service).copied().unwrap_or_default()
+    }
+
     /// Returns the usual time of a kind of work, `None` before the first answer.
     pub(crate) fn usual_time(&self, kind: &WorkKind) -> Option<Duration> {
         self.usual.get(kind).map(|seconds| Duration::from_secs_f64(*seconds))
