feat(core): requests wait for a target below its knee while the aim allows

Load: a service near its knee, every target that was asked is nearly full.

Ruled out: holding always.

Each wait is logged (6108) and counted.

--- a/ibiscroft-core/src/fleet/probe_budget.rs
+++ b/ibiscroft-core/src/fleet/probe_budget.rs
@@ -30,4 +30,10 @@
         self.balance -= 1.0;
         true
     }
+
+    /// Returns whether more than half of what may be saved at `rate` was left at the last check.
+    #[must_use]
+    pub fn is_ample(&self, rate: f64) -> bool {
+        self.balance > rate * BURST.as_secs_f64() / 2.0
+    }
 }
--- a/ibiscroft-core/tests/it/fleet.rs
+++ b/ibiscroft-core/tests/it/fleet.rs
@@ -2,6 +2,7 @@
 
 mod budgets;
 mod feed;
+mod holding;
 mod probing;
 mod refusals;
 mod routes;
--- a/ibiscroft-core/tests/it/fleet/budgets.rs
+++ b/ibiscroft-core/tests/it/fleet/budgets.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use ibiscroft_core::fleet::{
-    ColdShare, ColdShares, FleetSize, GatewayCount, ProbeBudget, RetryTerms, RetryWindow,
-    SizeKeeper,
+    ColdShare, ColdShares, FleetSize, GatewayCount, ProbeBudget, RetryTerms,
+    RetryWindow, SizeKeeper,
 };
 use ibiscroft_core::ids::{InstanceName, TargetName};
 use proptest::prelude::*;
@@ -124,6 +124,17 @@
     assert_eq!(burst, 200);
 }
 
+#[test]
+fn saved_checks_are_ample_until_half_of_them_are_spent() {
+    let mut budget = ProbeBudget::default();
+    assert!(!budget.is_ample(10.0));
+    let spent = (0..200).take_while(|_| {
+        budget.take(at(60_000), 10.0, false);
+        budget.is_ample(10.0)
+    });
+    assert_eq!(spent.count(), 99);
+}
+
 #[test]
 fn a_smaller_fleet_counts_after_a_while() {
     struct Case {
--- a/ibiscroft-edge/src/events.rs
+++ b/ibiscroft-edge/src/events.rs
@@ -66,6 +66,7 @@
     RequestSent 6107 Info "A target was chosen for a request, by what it said of its load.",
     SendFailed 6105 Info "One send of a request to a target failed.",
     TargetUnreachable 6106 Info "A target could not be reached and is left alone for a moment.",
+    RequestHeld 6108 Info "All targets that were asked are nearly full or slow; the request waits before it asks others.",
 }
 
 /// Logs a numbered event with fields in the form `key=value`.
--- a/ibiscroft-edge/src/filters/forward.rs
+++ b/ibiscroft-edge/src/filters/forward.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::{Report, Room, Target, Verdict};
+use ibiscroft_core::fleet::{Hold, Report, Room, Target, Verdict};
 use ibiscroft_core::ids::TargetName;
 
 use super::Handler;
@@ -76,6 +76,16 @@
                     return Err(progress.honest(failure));
                 }
             };
+            if progress.tried.is_empty()
+                && let Some(wait) = self.hold(ex, &chosen.report)
+            {
+                log_hold(ex, &chosen, wait);
+                shared.metrics.held.inc();
+                let Chosen { target, link, .. } = chosen;
+                shared.pool.put(&target.name, link);
+                tokio::time::sleep(wait).await;
+                continue;
+            }
             if let Some(failure) = self.too_late(ex, &chosen) {
                 let Chosen { target, link, .. } = chosen;
                 shared.pool.put(&target.name, link);
@@ -195,6 +205,23 @@
         Some(Failure::new(FailureKind::Overloaded, detail).retry_after(back))
     }
 
+    /// Returns how long a request waits for a better target than the best one.
+    fn hold(&self, ex: &Exchange, best: &Report) -> Option<Duration> {
+        let shared = &self.shared;
+        if !shared.probes_are_ample() {
+            return None;
+        }
+        let local = shared.local();
+        let hold = Hold {
+            aim_at: ex.received + ex.route.aim,
+            deadline: ex.deadline,
+            usual: local.usual_time(&ex.kind)?,
+            crowding: local.crowding(&ex.service),
+        };
+        drop(local);
+        hold.wait(shared.clock.now(), best)
+    }
+
     fn no_target(&self, ex: &Exchange, none: &NoneChosen) -> Failure {
         let left = ex.deadline.since(self.shared.clock.now());
         let detail = format!("usable={} asked={}, none can be sent to", none.usable, none.asked);
@@ -259,6 +286,20 @@
     }
 }
 
+fn log_hold(ex: &Exchange, best: &Chosen, wait: Duration) {
+    let Chosen { target, report, cost, asked, .. } = best;
+    let Report { running, waiting, slots, slowness, .. } = report;
+    event!(
+        RequestHeld,
+        "req={} service={} best={} asked={asked} cost={cost:.2} running={running} \
+         waiting={waiting} slots={slots} slowness={slowness:.2} for_ms={}",
+        ex.request_id,
+        ex.service,
+        target.name,
+        wait.as_millis(),
+    );
+}
+
 fn log_send(ex: &Exchange, chosen: &Chosen, progress: &Progress, now: Tick) {
     let Chosen { target, report, cost, asked, .. } = chosen;
     let Report { running, waiting, slots, slowness, .. } = report;
--- a/ibiscroft-edge/src/metrics.rs
+++ b/ibiscroft-edge/src/metrics.rs
@@ -31,6 +31,8 @@
     pub(crate) configuration_version: IntGauge,
     /// Hints for other gateways that were dropped because control was behind.
     pub(crate) hints_dropped: IntCounter,
+    /// Times that a request waited for a better target.
+    pub(crate) held: IntCounter,
     /// Requests in flight.
     pub(crate) in_flight: IntGauge,
 }
@@ -65,6 +67,7 @@
                 "edge_hints_dropped_total",
                 "Hints for other gateways that were dropped",
             )?,
+            held: counter(&registry, "edge_requests_held_total", "Waits for a better target")?,
             in_flight: gauge(&registry, "edge_requests_in_flight", "Requests in flight")?,
             registry,
         })
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -186,13 +186,23 @@
 
     /// Takes a health check from this gateway's part of the fleet's.
     pub(crate) fn take_probe(&self, necessary: bool) -> bool {
-        let view = self.view.load();
-        let targets = view.targets().count() as f64;
-        let gateways = f64::from(self.gateways().get());
-        let rate = self.settings.probes_per_s * PROBE_SAFETY * targets / gateways;
+        let rate = self.probe_rate();
         self.local().probes.take(self.clock.now(), rate, necessary)
     }
 
+    /// Returns whether there are health checks left for more than the usual choice.
+    pub(crate) fn probes_are_ample(&self) -> bool {
+        let rate = self.probe_rate();
+        self.local().probes.is_ample(rate)
+    }
+
+    /// Returns this gateway's part of the fleet's health checks, in checks a second.
+    fn probe_rate(&self) -> f64 {
+        let targets = self.view.load().targets().count() as f64;
+        let gateways = f64::from(self.gateways().get());
+        self.settings.probes_per_s * PROBE_SAFETY * targets / gateways
+    }
+
     /// Waits for the first configuration while the process has just started.
     pub(crate) async fn first_configuration(&self) {
         if *self.has_configuration.borrow() {
