perf(core): gateways that follow another one seldom call a store that is away

Cause: in an outage every follower's view grows stale, each reads the store for itself and tried again at most 1 s later.

Ruled out: no call by followers; they could not tell a source that is cut off from a store that is away.

Change: CallPause. The reader keeps 0.15 to 1 s; a follower whose own call failed waits 1, 2, then 4 s, and is told as soon as the reader gets through. A test plays an outage of 8 s for both.

--- a/ibiscroft-core/src/fleet.rs
+++ b/ibiscroft-core/src/fleet.rs
@@ -4,6 +4,7 @@
 //! state that they add up to. The other parts decide on a request with such a view: where it may
 //! go, which target is asked, whether another try may be spent on it.
 
+mod call_pause;
 mod change;
 mod cold_share;
 mod configuration;
@@ -24,6 +25,7 @@
 mod target;
 mod view;
 
+pub use call_pause::CallPause;
 pub use change::{Change, Revision, Update};
 pub use cold_share::{ColdShare, ColdShares};
 pub use configuration::{CallerLimits, Configuration, ServicePolicy};
--- a/ibiscroft-core/tests/it/fleet/budgets.rs
+++ b/ibiscroft-core/tests/it/fleet/budgets.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ibiscroft_core::fleet::{
-    ColdShare, ColdShares, FleetSize, GatewayCount, ProbeBudget, RetryTerms,
+    CallPause, ColdShare, ColdShares, FleetSize, GatewayCount, ProbeBudget, RetryTerms,
     RetryWindow, SizeKeeper,
 };
 use ibiscroft_core::ids::{InstanceName, TargetName};
@@ -182,3 +182,48 @@
         assert_eq!(first, case.due_after_ms, "{}", case.name);
     }
 }
+
+/// Load of an outage of the store: each gateway of a large fleet looks for itself.
+#[test]
+fn a_fleet_calls_a_store_that_is_away_within_its_rate() {
+    struct Case {
+        name: &'static str,
+        call_takes: Duration,
+        outage: Duration,
+        most_of_reader: u32,
+        most_of_follower: u32,
+    }
+    let cases = [
+        Case {
+            name: "refuses at once",
+            call_takes: Duration::from_millis(4),
+            outage: Duration::from_secs(8),
+            most_of_reader: 11,
+            most_of_follower: 4,
+        },
+        Case {
+            name: "is silent",
+            call_takes: Duration::from_millis(800),
+            outage: Duration::from_secs(8),
+            most_of_reader: 6,
+            most_of_follower: 3,
+        },
+    ];
+    for case in cases {
+        let calls = |pause: fn(&CallPause) -> Duration| {
+            let (mut state, mut now, mut calls) = (CallPause::default(), Duration::ZERO, 0);
+            while now < case.outage {
+                calls += 1;
+                state.note_failed();
+                now += case.call_takes + pause(&state);
+            }
+            state.note_answered();
+            assert_eq!(pause(&state), Duration::ZERO, "{}", case.name);
+            calls
+        };
+        let of_reader = calls(CallPause::of_reader);
+        let of_follower = calls(CallPause::of_follower);
+        assert!(of_reader <= case.most_of_reader, "{}: {of_reader}", case.name);
+        assert!(of_follower <= case.most_of_follower, "{}: {of_follower}", case.name);
+    }
+}
--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -161,7 +161,7 @@
                 }
             }
             let wake = if self.was_current() {
-                self.feed.stale_at().max(self.shared.clock.now() + self.reader.pause())
+                self.feed.stale_at().max(self.shared.clock.now() + self.reader.pause_of_follower())
             } else {
                 opened_at + FIRST_WORD
             };
--- a/ibiscroft-edge/src/feeder/store_reader.rs
+++ b/ibiscroft-edge/src/feeder/store_reader.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ibiscroft_core::fleet::{GatewayCount, Revision, Update};
+use ibiscroft_core::fleet::{CallPause, GatewayCount, Revision, Update};
 use rand::Rng;
 
 use crate::events::event;
@@ -21,10 +21,6 @@
 const STALE_PAUSE: Duration = Duration::from_millis(800);
 /// Age given to a listing that may be old.
 const STALE_AGE: Duration = Duration::from_secs(3_600);
-/// Pause after a failed call.
-const FIRST_PAUSE: Duration = Duration::from_millis(150);
-/// Longest pause after failed calls; half of the time in which lapsed entries come back.
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
 /// What one call brought.
 #[derive(Debug)]
@@ -46,7 +42,7 @@
     lost_history: bool,
     is_lost: bool,
     stale_reads: u32,
-    pause: Duration,
+    pause: CallPause,
     /// Rest of the time in which changes gather, less what a slow call took.
     gather: Duration,
 }
@@ -61,7 +57,7 @@
             lost_history: false,
             is_lost: false,
             stale_reads: 0,
-            pause: Duration::ZERO,
+            pause: CallPause::default(),
             gather: GATHER,
         }
     }
@@ -97,7 +93,7 @@
                 self.gather = GATHER.saturating_sub(update.age);
                 self.is_current = true;
                 self.lost_history = false;
-                self.pause = Duration::ZERO;
+                self.pause.note_answered();
                 let is_back = std::mem::take(&mut self.is_lost);
                 if is_back {
                     event!(StoreBack, "revision={}", update.revision);
@@ -122,7 +118,7 @@
     /// Waits until the store may be asked again.
     pub(super) async fn gather(&self, knows_nobody: bool) {
         let pause = if self.is_lost {
-            self.pause()
+            spread(self.pause.of_reader())
         } else if self.is_current {
             self.gather
         } else if knows_nobody {
@@ -133,9 +129,10 @@
         tokio::time::sleep(pause).await;
     }
 
-    /// Returns the pause before another call after a failed one, zero after none.
-    pub(super) fn pause(&self) -> Duration {
-        self.pause.mul_f64(rand::rng().random_range(0.75..1.25))
+    /// Returns the pause before another call of a gateway that follows another one; zero after
+    /// an answer.
+    pub(super) fn pause_of_follower(&self) -> Duration {
+        spread(self.pause.of_follower())
     }
 
     fn on_error(&mut self, error: &RegistryError, revision: Revision) {
@@ -144,7 +141,7 @@
             event!(HistoryLost, "revision={revision}");
             return;
         }
-        self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
+        self.pause.note_failed();
         if !std::mem::replace(&mut self.is_lost, true) {
             event!(StoreLost, "revision={revision} reason={:?}", error.to_string());
         }
@@ -155,3 +152,8 @@
         log::debug!("store call={call}");
     }
 }
+
+/// Varies a pause, so that gateways that failed together do not call together.
+fn spread(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.75..1.25))
+}
