perf(core): a request that would come late and delay others is refused

Cause: any free slot was taken even if the answer was expected after the aim. At a nearly full target that answer comes late and slows the four or five that run there, which then come late as well.

Ruled out: refusing all that would come late; at a half full target nobody is delayed and the caller still gets an answer.

Change: Report::time_limit; the whole time that is left counts only where one more request delays nobody.

--- a/ibiscroft-core/src/fleet/probe.rs
+++ b/ibiscroft-core/src/fleet/probe.rs
@@ -13,6 +13,8 @@
 const KNEE: f64 = 0.8;
 /// Factor by which a cold target is slower.
 const COLD_FACTOR: f64 = 2.0;
+/// Slowdown from which one more request at a nearly full target delays the others.
+const NOTABLE_SLOWDOWN: f64 = 1.2;
 /// Cost up to which the first target that answered is taken.
 const GOOD_COST: f64 = 1.05;
 /// Cost up to which the best target is taken after a round of questions, else others are asked:
@@ -64,6 +66,16 @@
         self.uncrowded_cost() * slowdown
     }
 
+    /// Returns the time within which an answer must be expected for a request to be sent, if it
+    /// has `left` time and `aim_left` of it until its aim.
+    ///
+    /// A late answer is still worth a free slot, but not the delay of those before it.
+    #[must_use]
+    pub fn time_limit(&self, crowding: Crowding, aim_left: Duration, left: Duration) -> Duration {
+        let delays_others = self.is_crowded() && crowding.slowdown() > NOTABLE_SLOWDOWN;
+        if self.has_free_slot() && !delays_others { left } else { aim_left.min(left) }
+    }
+
     /// Returns the expected time of one more request if being nearly full did not matter.
     #[must_use]
     pub fn uncrowded_cost(&self) -> f64 {
--- a/ibiscroft-core/tests/it/fleet/probing.rs
+++ b/ibiscroft-core/tests/it/fleet/probing.rs
@@ -210,6 +210,38 @@
     }
 }
 
+/// Load beyond the knee: who would come late and delay others is refused.
+#[test]
+fn a_late_answer_is_worth_a_free_slot_that_delays_nobody() {
+    struct Case {
+        name: &'static str,
+        report: Report,
+        slows_down: bool,
+        limit_ms: u64,
+    }
+    let cases = [
+        Case { name: "half full", report: report(3, 0), slows_down: true, limit_ms: 900 },
+        Case { name: "nearly full", report: report(4, 0), slows_down: true, limit_ms: 300 },
+        Case {
+            name: "nearly full, of a service that does not mind",
+            report: report(4, 0),
+            slows_down: false,
+            limit_ms: 900,
+        },
+        Case { name: "full", report: report(6, 0), slows_down: false, limit_ms: 300 },
+        Case { name: "a wait line", report: report(6, 2), slows_down: true, limit_ms: 300 },
+    ];
+    for Case { name, report: found, slows_down, limit_ms } in cases {
+        let mut crowding = Crowding::default();
+        for _ in 0..30 {
+            crowding.note(&report(4, 0), if slows_down { 1.7 } else { 1.0 });
+        }
+        let ms = Duration::from_millis;
+        assert_eq!(found.time_limit(crowding, ms(300), ms(900)), ms(limit_ms), "{name}");
+        assert_eq!(found.time_limit(crowding, ms(300), ms(200)), ms(200), "{name}, little time");
+    }
+}
+
 #[test]
 fn unreachable_targets_are_left_alone_for_longer_each_time() {
     let mut health = Health::default();
--- a/ibiscroft-edge/src/filters/forward.rs
+++ b/ibiscroft-edge/src/filters/forward.rs
@@ -180,17 +180,18 @@
 
     /// Returns the refusal of a request that the best target would answer too late.
     ///
-    /// A request that would come late and wait on top makes those behind it late as well, so it
-    /// is refused while the caller can still come back; one that finds a free slot is served.
+    /// A request that would come late and delay others is refused while the caller can still come
+    /// back; one that finds a free slot and delays nobody is served.
     fn too_late(&self, ex: &Exchange, chosen: &Chosen) -> Option<Failure> {
         let now = self.shared.clock.now();
         let local = self.shared.local();
         let usual = local.usual_time(&ex.kind)?;
-        let expected = usual.mul_f64(chosen.report.cost(local.crowding(&ex.service)));
+        let crowding = local.crowding(&ex.service);
         drop(local);
+        let expected = usual.mul_f64(chosen.report.cost(crowding));
         let left = ex.deadline.since(now);
-        let aim_left = (ex.received + ex.route.aim).since(now).min(left);
-        let limit = if chosen.report.has_free_slot() { left } else { aim_left };
+        let aim_left = (ex.received + ex.route.aim).since(now);
+        let limit = chosen.report.time_limit(crowding, aim_left, left);
         if expected <= limit {
             return None;
         }
