perf(edge): further rounds ask three near targets and one far one

Cause: since crowded targets are no longer taken at once, further rounds are common under load, and half of their questions crossed zones.

Change: three targets of the own zone and one of another in each further round, instead of two and two.

--- a/ibiscroft-edge/src/filters/select/candidates.rs
+++ b/ibiscroft-edge/src/filters/select/candidates.rs
@@ -11,9 +11,9 @@
 /// Targets that are asked at first.
 const ASK: usize = 3;
 /// Targets of the own zone that are asked in each further round.
-const ASK_NEAR: usize = 2;
+const ASK_NEAR: usize = 3;
 /// Targets of other zones that are asked in each further round.
-const ASK_FAR: usize = 2;
+const ASK_FAR: usize = 1;
 /// Targets of a service and zone that a gateway asks first.
 const SUBSET: usize = 10;
 
