--- a/ibiscroft-core/src/fleet/crowding.rs
+++ b/ibiscroft-core/src/fleet/crowding.rs
@@ -3,9 +3,9 @@
 use super::probe::Report;
 
 /// Slowdown that is assumed before any answer; some services show none.
-const ASSUMED: f64 = 1.7;
+const ASSUMED: f64 = 1.6;
 /// Answers that the assumption weighs as much as.
-const ASSUMED_WEIGHT: f64 = 3.0;
+const ASSUMED_WEIGHT: f64 = 2.0;
 /// Answers after which older ones are forgotten.
 const MEMORY: f64 = 40.0;
 /// Range of an answer's slowdown that counts; beyond it the target had other trouble.
