perf(edge): two targets are asked at first

Cause: three questions a request, though the first answer is good for most; the others cost checks, connections and, on weak links, time.

Ruled out: one question; a third of the targets is slowed by neighbours at any moment, so a second answer decides often.

Change: two at first; further rounds are as before.

--- a/ibiscroft-edge/src/filters/select/candidates.rs
+++ b/ibiscroft-edge/src/filters/select/candidates.rs
@@ -9,7 +9,7 @@
 use crate::shared::Shared;
 
 /// Targets that are asked at first.
-const ASK: usize = 3;
+const ASK: usize = 2;
 /// Targets of the own zone that are asked in each further round.
 const ASK_NEAR: usize = 3;
 /// Targets of other zones that are asked in each further round.
