feat(edge): a request that may be repeated goes to another target if one fails it

Cause: a target's own 500 was passed on at once, also for requests that may run again. Targets that fail a part of their requests while they look healthy make it worse.

Ruled out: leaving it to the callers; the Verband's have one try.

Change: within max_attempts, the fleet's budget and the time that is left, a repeatable request whose target answered 5xx is sent to another one. If that does no better the caller gets the first target's answer, also when time runs out meanwhile. The further send is logged as SendFailed, reason=failed.

--- a/ibiscroft-edge/src/filters/forward.rs
+++ b/ibiscroft-edge/src/filters/forward.rs
@@ -37,21 +37,27 @@
 }
 
 /// Sends of one request so far.
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct Progress {
     tried: Vec<TargetName>,
     sent: u32,
     unsent: u32,
     /// The failure of the last send that may have run.
     may_have_run: Option<Failure>,
+    /// A target's own failure, which the caller gets if no other target does better.
+    failed_answer: Option<Answer>,
 }
 
 impl Progress {
-    /// Returns what the caller is told: a request that may have run is never said not to have.
-    fn honest(&self, failure: Failure) -> Failure {
-        match &self.may_have_run {
-            Some(earlier) if failure.kind.is_unrun() => earlier.clone(),
-            _ => failure,
+    /// Returns what the caller is told: the answer of a target that failed the request, if any; a
+    /// request that may have run is never said not to have.
+    fn honest(&mut self, failure: Failure) -> Reply {
+        if let Some(answer) = self.failed_answer.take() {
+            return Ok(answer);
+        }
+        match self.may_have_run.take() {
+            Some(earlier) if failure.kind.is_unrun() => Err(earlier),
+            _ => Err(failure),
         }
     }
 }
@@ -62,18 +68,17 @@
         Self { shared, dialect: PhantomData }
     }
 
-    async fn attempts(&self, ex: &Exchange) -> Reply {
+    async fn attempts(&self, ex: &Exchange, progress: &mut Progress) -> Reply {
         let shared = &self.shared;
         let terms = shared.retry_terms();
         shared.local().window(&ex.service, terms).note_request(shared.clock.now());
-        let mut progress = Progress::default();
         let mut last = None;
         loop {
             let chosen = match select::<D>(shared, ex, &progress.tried).await {
                 Ok(chosen) => chosen,
                 Err(none) => {
                     let failure = last.unwrap_or_else(|| self.no_target(ex, &none));
-                    return Err(progress.honest(failure));
+                    return progress.honest(failure);
                 }
             };
             if progress.tried.is_empty()
@@ -89,18 +94,23 @@
             if let Some(failure) = self.too_late(ex, &chosen) {
                 let Chosen { target, link, .. } = chosen;
                 shared.pool.put(&target.name, link);
-                return Err(progress.honest(last.unwrap_or(failure)));
+                return progress.honest(last.unwrap_or(failure));
             }
             let room = if chosen.report.has_free_slot() { Room::Now } else { LATER };
-            let error = match self.attempt(ex, chosen, &mut progress).await {
+            let error = match self.attempt(ex, chosen, progress).await {
+                Ok(answer) if self.may_do_better(ex, &answer, progress) => {
+                    log_failed_answer(ex, &answer, progress);
+                    progress.failed_answer = Some(answer);
+                    continue;
+                }
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
             let may_repeat = match &error {
                 SendError::NotSent(_) => progress.unsent <= MAX_UNSENT,
-                SendError::Refused(_) => self.may_send_again(ex, &progress),
+                SendError::Refused(_) => self.may_send_again(ex, progress),
                 SendError::Lost(_) => {
-                    ex.route.repeatable.is_repeatable() && self.may_send_again(ex, &progress)
+                    ex.route.repeatable.is_repeatable() && self.may_send_again(ex, progress)
                 }
                 SendError::TimedOut => false,
             };
@@ -109,7 +119,7 @@
                 progress.may_have_run = Some(failure.clone());
             }
             if !may_repeat || shared.clock.now() >= ex.deadline {
-                return Err(progress.honest(failure));
+                return progress.honest(failure);
             }
             last = Some(failure);
         }
@@ -167,6 +177,17 @@
         sent
     }
 
+    /// Returns whether another target is asked to run a request that one failed; takes the further
+    /// send.
+    fn may_do_better(&self, ex: &Exchange, answer: &Answer, progress: &Progress) -> bool {
+        let left = ex.deadline.since(self.shared.clock.now());
+        let usual = self.shared.local().usual_time(&ex.kind).unwrap_or_default();
+        answer.status.is_server_error()
+            && ex.route.repeatable.is_repeatable()
+            && usual < left
+            && self.may_send_again(ex, progress)
+    }
+
     /// Takes a further send from the route's and the fleet's allowance.
     fn may_send_again(&self, ex: &Exchange, progress: &Progress) -> bool {
         if progress.sent >= ex.route.max_attempts {
@@ -258,11 +279,11 @@
 
 impl<D: Dialect> Handler for Forward<D> {
     async fn handle(&self, ex: &Exchange) -> Reply {
-        let answered_by = ex.deadline + LATE_ANSWER;
-        let limit: Tick = answered_by;
-        match tokio::time::timeout_at(self.shared.clock.instant(limit), self.attempts(ex)).await {
+        let limit = self.shared.clock.instant(ex.deadline + LATE_ANSWER);
+        let mut progress = Progress::default();
+        match tokio::time::timeout_at(limit, self.attempts(ex, &mut progress)).await {
             Ok(reply) => reply,
-            Err(_) => Err(self.failure(ex, SendError::TimedOut, LATER)),
+            Err(_) => progress.honest(self.failure(ex, SendError::TimedOut, LATER)),
         }
     }
 }
@@ -287,6 +308,12 @@
     }
 }
 
+fn log_failed_answer(ex: &Exchange, answer: &Answer, progress: &Progress) {
+    let target = progress.tried.last().map_or("", |name| name.as_str());
+    let status = answer.status.as_u16();
+    event!(SendFailed, "req={} target={target} reason=failed status={status}", ex.request_id);
+}
+
 fn log_hold(ex: &Exchange, best: &Chosen, wait: Duration) {
     let Chosen { target, report, cost, asked, .. } = best;
     let Report { running, waiting, slots, slowness, .. } = report;
