fix(edge): an outage is over for a follower once its source tells something fresh

The store was down from 13.3 to 17.8 s; edge-mittelland-bern-1 had three failed calls, then heard of the return from its source, and its count of failed calls stayed. When the reader was cut off at 21.4 s its view was stale at 22.5 s, but its next call waited for the pause of up to 4 s, until 24.39 s.

Ruled out: the mesh; bern-3 told nothing because the reader was cut off.

Change: fresh news from any source end the pause.

--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -223,6 +223,7 @@
         }
         if update.revision >= before && update.age < WORTHLESS_AGE {
             self.feed.note_fresh(now, update.age);
+            self.reader.note_fresh();
             self.shared.is_current.store(true, Ordering::Relaxed);
         }
         let made = self.view.apply(now, update.clone());
--- a/ibiscroft-edge/src/feeder/store_reader.rs
+++ b/ibiscroft-edge/src/feeder/store_reader.rs
@@ -93,7 +93,6 @@
                 self.gather = GATHER.saturating_sub(update.age);
                 self.is_current = true;
                 self.lost_history = false;
-                self.pause.note_answered();
                 let is_back = std::mem::take(&mut self.is_lost);
                 if is_back {
                     event!(StoreBack, "revision={}", update.revision);
@@ -135,6 +134,12 @@
         spread(self.pause.of_follower())
     }
 
+    /// Notes that the view is fresh, whoever told: the store answers again, so the next call of
+    /// this gateway need not wait.
+    pub(super) fn note_fresh(&mut self) {
+        self.pause.note_answered();
+    }
+
     fn on_error(&mut self, error: &RegistryError, revision: Revision) {
         if *error == RegistryError::HistoryLost {
             self.lost_history = true;
