--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod store;
 mod target;
+mod uploads;
 mod world;
 
 use world::Record;
@@ -19,6 +20,7 @@
     let record = Record::new(&format!("{folder}/record.txt"));
     let is_broken = match case.as_str() {
         "copies" => copies::run(&record, temporary, has_trouble),
+        "uploads" => uploads::run(&record, temporary, has_trouble),
         _ => {
             eprintln!("unknown case {case}");
             std::process::exit(world::COULD_NOT_RUN);
