--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 temporary=$(mktemp -d) || exit 2
 trap 'rm -rf "$temporary"' EXIT
-target/review/standin uploads "${RECORD_FOLDER:-review/2}" "$temporary"
+target/review/standin stop "${RECORD_FOLDER:-review/2}" "$temporary"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,8 +3,8 @@
 
 mod copies;
 mod http;
+mod stop;
 mod store;
-mod switching;
 mod target;
 mod uploads;
 mod world;
@@ -21,7 +21,7 @@
     let record = Record::new(&format!("{folder}/record.txt"));
     let is_broken = match case.as_str() {
         "copies" => copies::run(&record, temporary, has_trouble),
-        "switching" => switching::run(&record, temporary, has_trouble),
+        "stop" => stop::run(&record, temporary, has_trouble),
         "uploads" => uploads::run(&record, temporary, has_trouble),
         _ => {
             eprintln!("unknown case {case}");
