--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 //! the daemon between them. Arguments: the case, its folder, and a temporary folder.
 
 mod copies;
+mod crashing;
 mod http;
 mod stop;
 mod store;
@@ -21,6 +22,7 @@
     let record = Record::new(&format!("{folder}/record.txt"));
     let is_broken = match case.as_str() {
         "copies" => copies::run(&record, temporary, has_trouble),
+        "crashing" => crashing::run(&record, temporary, has_trouble),
         "stop" => stop::run(&record, temporary, has_trouble),
         "uploads" => uploads::run(&record, temporary, has_trouble),
         _ => {
