--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -140,7 +140,13 @@
             .stderr(log("err"))
             .spawn();
         match child {
-            Ok(child) => self.child = Some(child),
+            Ok(child) => {
+                // For `run.sh`, which ends what is left if this process is killed.
+                let path = self.folder.join("processes");
+                let file = File::options().create(true).append(true).open(path);
+                let _ = file.and_then(|mut file| writeln!(file, "{}", child.id()));
+                self.child = Some(child);
+            }
             Err(error) => {
                 eprintln!("start target/release/ibiscroft-edge: {error}");
                 std::process::exit(COULD_NOT_RUN);
