--- a/ibiscroft-core/src/fleet/configuration.rs
+++ b/ibiscroft-core/src/fleet/configuration.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::organisation::Organisations;
 use super::route::Route;
 use crate::ids::{Connections, Generation, ServiceName};
 
@@ -43,6 +44,8 @@
     pub services: BTreeMap<ServiceName, ServicePolicy>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// Organisations and their keys; `None` if callers need no keys.
+    pub organisations: Option<Organisations>,
 }
 
 impl Configuration {
@@ -55,7 +58,14 @@
         limits: CallerLimits,
     ) -> Self {
         routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
-        Self { version, routes, services, limits }
+        Self { version, routes, services, limits, organisations: None }
+    }
+
+    /// Sets the organisations; requests on routes that are not public then need a key.
+    #[must_use]
+    pub fn with_organisations(mut self, organisations: Organisations) -> Self {
+        self.organisations = Some(organisations);
+        self
     }
 
     /// Returns the route of a request: among the routes of `host`, the one with the longest prefix
--- a/ibiscroft-core/src/fleet/route.rs
+++ b/ibiscroft-core/src/fleet/route.rs
@@ -58,4 +58,7 @@
     pub shares: Vec<Share>,
     /// Maximum number of attempts per request.
     pub max_attempts: u32,
+    /// Whether callers need no key, even if the configuration has organisations.
+    #[serde(default)]
+    pub is_public: bool,
 }
--- a/ibiscroft-core/src/ids.rs
+++ b/ibiscroft-core/src/ids.rs
@@ -44,6 +44,10 @@
     /// Key that a caller chose for a request that must run at most once.
     IdempotencyKey
 );
+text_newtype!(
+    /// Name of an organisation whose callers share keys and a quota, unique in a configuration.
+    OrganisationName
+);
 text_newtype!(
     /// Random identifier of one operator change, by which a writer recognises its own write.
     ChangeId
--- a/ibiscroft-core/tests/it/fleet/world.rs
+++ b/ibiscroft-core/tests/it/fleet/world.rs
@@ -51,6 +51,7 @@
             .map(|(service, weight)| Share { service: ServiceName::new(*service), weight: *weight })
             .collect(),
         max_attempts: 2,
+        is_public: false,
     }
 }
 
