feat: API keys identify the organisation of a request

Cause: the configuration can list organisations with API keys (docs/design/limits-and-priorities.md, section 1). Requests on routes that are not public must then carry a known key, and targets must receive the organisation's name.

Ruled out: 401 for every unknown key. A gateway that is cut off cannot know keys that were added since, so a key that it does not know gets 503 with a retry time while its view is more than 2 s old. The age is read before the view is loaded, so the view contains all that the store held at that age.

The dialect parses the key into a digest, says which fields are withheld from targets (also spelled with underscores) and sets the organisation's name. The control thread publishes when the view was last known to match the store. Log lines of requests state the organisation, and RequestSent the priority that applies.

--- a/ibiscroft-core/tests/it/fleet.rs
+++ b/ibiscroft-core/tests/it/fleet.rs
@@ -5,6 +5,7 @@
 mod herds;
 mod holding;
 mod leaving;
+mod organisations;
 mod probing;
 mod refusals;
 mod resting;
--- a/ibiscroft-edge/src/dialect.rs
+++ b/ibiscroft-edge/src/dialect.rs
@@ -2,9 +2,22 @@
 
 use std::time::Duration;
 
-use http::{HeaderMap, StatusCode};
-use ibiscroft_core::fleet::ProbeReport;
-use ibiscroft_core::ids::{RequestId, Slots, TargetName};
+use http::{HeaderMap, HeaderName, StatusCode};
+use ibiscroft_core::copy_data;
+use ibiscroft_core::fleet::{KeyDigest, ProbeReport};
+use ibiscroft_core::ids::{OrganisationName, RequestId, Slots, TargetName};
+
+copy_data! {
+    /// API key of a caller's request; the key itself is not kept.
+    pub enum Credential {
+        /// The request has no key.
+        Missing,
+        /// Digest of the request's key.
+        Key(KeyDigest),
+        /// The request has several credentials, so that none of them applies.
+        Ambiguous,
+    }
+}
 
 /// Parsed header fields of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -69,9 +82,21 @@
     /// Returns a message with the name and value of the first malformed field.
     fn parse_request(headers: &HeaderMap) -> Result<RequestMetadata, String>;
 
-    /// Sets the fields that a target expects: the time `left` until the deadline and the name of
-    /// the `target` that the request is meant for.
-    fn set_request_headers(headers: &mut HeaderMap, left: Duration, target: &TargetName);
+    /// Parses the API key of a caller's request.
+    fn parse_credential(headers: &HeaderMap) -> Credential;
+
+    /// Returns whether a header field of callers is withheld from targets if callers have API keys:
+    /// it holds a credential or could be taken for the organisation's name.
+    fn is_withheld(field: &HeaderName) -> bool;
+
+    /// Sets the fields that a target expects: the time `left` until the deadline, the name of the
+    /// `target` that the request is meant for, and that of the caller's `organisation`, if known.
+    fn set_request_headers(
+        headers: &mut HeaderMap,
+        left: Duration,
+        target: &TargetName,
+        organisation: Option<&OrganisationName>,
+    );
 
     /// Parses the header fields of a target's response to a request.
     ///
--- a/ibiscroft-edge/src/exchange.rs
+++ b/ibiscroft-edge/src/exchange.rs
@@ -4,7 +4,7 @@
 use http::{HeaderMap, Method};
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::Route;
-use ibiscroft_core::ids::{Generation, RequestId, ServiceName};
+use ibiscroft_core::ids::{Generation, OrganisationName, RequestId, ServiceName};
 use ibiscroft_core::quarantine::Fingerprint;
 
 use crate::shared::LatencyClass;
@@ -28,7 +28,11 @@
     pub(crate) body: Bytes,
     /// The route that matched host and path.
     pub(crate) route: Route,
-    /// Version of the configuration in which the route was found.
+    /// Organisation of the caller; `None` if it is not known or there are no organisations.
+    pub(crate) organisation: Option<OrganisationName>,
+    /// Priority of the organisation, or else of the route; 0 is the most urgent.
+    pub(crate) priority: u32,
+    /// Version of the configuration in which the route and the organisation were found.
     pub(crate) version: Generation,
     /// Service selected by the route's weights.
     pub(crate) service: ServiceName,
@@ -45,4 +49,9 @@
     pub(crate) fn log_id(&self) -> &str {
         self.request_id.as_ref().map_or("-", RequestId::as_str)
     }
+
+    /// Returns the name of the organisation for log lines, `-` if it is not known.
+    pub(crate) fn log_organisation(&self) -> &str {
+        self.organisation.as_ref().map_or("-", OrganisationName::as_str)
+    }
 }
--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -298,6 +298,7 @@
                 self.shared.traffic().retain_routes(configuration.routes());
             }
         }
+        self.shared.set_fresh_at(self.source_selector.fresh_at());
         if revision == Revision(0) {
             // The view comes from a stale listing and is of no use to followers.
             return;
--- a/ibiscroft-edge/src/filters/account.rs
+++ b/ibiscroft-edge/src/filters/account.rs
@@ -56,8 +56,9 @@
                 self.shared.metrics.requests.with_label_values(&["answered"]).inc();
                 event!(
                     RequestAnswered,
-                    "req={} route={} service={} status={} ms={}",
+                    "req={} organisation={} route={} service={} status={} ms={}",
                     ex.log_id(),
+                    ex.log_organisation(),
                     ex.route.name,
                     ex.service,
                     response.status.as_u16(),
@@ -77,20 +78,21 @@
     shared.metrics.requests.with_label_values(&[name]).inc();
     let Exchange { route, service, version, .. } = ex;
     let request_id = ex.log_id();
+    let organisation = ex.log_organisation();
     let route = &route.name;
     let detail = &failure.detail;
     if failure.kind.guarantees_not_run() {
         let retry_after_ms = failure.retry_after.unwrap_or_default().as_millis();
         event!(
             RequestRefused,
-            "req={request_id} route={route} service={service} version={version} kind={name} \
-             ms={ms} retry_after_ms={retry_after_ms} detail={detail:?}"
+            "req={request_id} organisation={organisation} route={route} service={service} \
+             version={version} kind={name} ms={ms} retry_after_ms={retry_after_ms} detail={detail:?}"
         );
     } else {
         event!(
             RequestFailed,
-            "req={request_id} route={route} service={service} version={version} kind={name} \
-             ms={ms} detail={detail:?}"
+            "req={request_id} organisation={organisation} route={route} service={service} \
+             version={version} kind={name} ms={ms} detail={detail:?}"
         );
     }
 }
--- a/ibiscroft-edge/src/filters/forward/attempt_log.rs
+++ b/ibiscroft-edge/src/filters/forward/attempt_log.rs
@@ -44,11 +44,12 @@
     let ProbeReport { running, waiting, slots, slowness, .. } = report;
     event!(
         RequestSent,
-        "req={} route={} version={} service={} target={} zone={} attempt={} asked={probed} \
+        "req={} route={} priority={} version={} service={} target={} zone={} attempt={} asked={probed} \
          cost={cost:.2} running={running} waiting={waiting} slots={slots} slowness={slowness:.2} \
          waited_ms={} left_ms={}",
         ex.log_id(),
         ex.route.name,
+        ex.priority,
         ex.version,
         ex.service,
         target.name,
--- a/ibiscroft-edge/src/filters/identify.rs
+++ b/ibiscroft-edge/src/filters/identify.rs
@@ -1,5 +1,7 @@
 //! Reads a caller's request and determines its route and service.
 
+mod organisation;
+
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,13 +13,14 @@
 use ibiscroft_core::quarantine::Fingerprint;
 use poem::Request;
 
+use self::organisation::Identity;
 use crate::dialect::Dialect;
 use crate::exchange::Exchange;
 use crate::reply::{Failure, FailureKind};
 use crate::shared::{LatencyClass, Shared};
 
-/// Retry time for callers of a daemon that has no configuration yet.
-const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Retry time for callers of a daemon that has no configuration yet, or none that is current.
+pub(crate) const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Timeout for reading a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -39,12 +42,15 @@
 /// # Errors
 ///
 /// Returns the failure for the caller if there is no configuration, no route matches, the route
-/// names no service, or a header field or the body is malformed or the body too large.
+/// needs an API key and the request has none that is known, the route names no service, or a header
+/// field or the body is malformed or the body too large.
 pub(crate) async fn identify<D: Dialect>(
     req: &mut Request,
     shared: &Shared,
     received: Tick,
 ) -> Result<Exchange, Failure> {
+    // Read before the view, which is then at least as recent.
+    let staleness = shared.staleness();
     let view = shared.view.load_full();
     let Some(configuration) = view.configuration() else {
         let detail = "no configuration is known yet";
@@ -58,6 +64,9 @@
         let detail = format!("host {host:?}, path {path:?}, version {}", configuration.version);
         return Err(Failure::new(FailureKind::NoRoute, detail));
     };
+    let credential = D::parse_credential(req.headers());
+    let Identity { organisation, priority } =
+        organisation::identify(configuration, &route, credential, staleness)?;
     let service = shared.traffic().split.next(&route, rand::random());
     let Some(service) = service else {
         let detail = format!("route {} names no service", route.name);
@@ -83,6 +92,9 @@
     let fingerprint = Fingerprint::new(parts);
     let mut headers = std::mem::take(req.headers_mut());
     remove_hop_by_hop(&mut headers);
+    if configuration.organisations.is_some() {
+        organisation::remove_withheld::<D>(&mut headers);
+    }
     Ok(Exchange {
         request_id: metadata.request_id,
         received,
@@ -92,6 +104,8 @@
         headers,
         body,
         route,
+        organisation,
+        priority,
         version: configuration.version,
         fingerprint,
         latency_class,
--- a/ibiscroft-edge/src/filters/send.rs
+++ b/ibiscroft-edge/src/filters/send.rs
@@ -60,7 +60,8 @@
 ) -> Result<TargetResponse, SendError> {
     let left = ex.deadline.since(shared.clock.now());
     let mut headers = ex.headers.clone();
-    D::set_request_headers(&mut headers, left, &selected.target.name);
+    let target_name = &selected.target.name;
+    D::set_request_headers(&mut headers, left, target_name, ex.organisation.as_ref());
     let req =
         connection::build_request(ex.method.clone(), &ex.path_and_query, headers, ex.body.clone())
             .map_err(|error| SendError::NotSent(error.to_string()))?;
--- a/ibiscroft-edge/src/lib.rs
+++ b/ibiscroft-edge/src/lib.rs
@@ -35,7 +35,9 @@
 pub mod events;
 
 pub use daemon::run;
-pub use dialect::{Dialect, ProbeResponse, Refusal, RequestMetadata, ResponseMetadata, TargetWish};
+pub use dialect::{
+    Credential, Dialect, ProbeResponse, Refusal, RequestMetadata, ResponseMetadata, TargetWish,
+};
 pub use log_sink::start_log_writer;
 pub use registry::{Lease, ListingSample, Registry, RegistryError};
 pub use settings::{RetryBudgetSettings, Settings};
--- a/ibiscroft-edge/src/reply.rs
+++ b/ibiscroft-edge/src/reply.rs
@@ -8,13 +8,19 @@
 use ibiscroft_core::copy_data;
 use poem::{Body, Response};
 
+/// Scheme of the credentials that callers must send.
+const CHALLENGE: HeaderValue = HeaderValue::from_static("Bearer");
+
 copy_data! {
     /// Why a request is answered by the gateway instead of a target.
     pub(crate) enum FailureKind {
-        /// The gateway has not received a configuration yet.
+        /// The gateway has not received a configuration yet, or not one that is current enough to
+        /// tell whether an API key is known.
         NotReady,
         /// No route matches the request's host and path.
         NoRoute,
+        /// The route needs an API key, and the request has none that is known.
+        Unauthorized,
         /// A header field or the body of the request cannot be read.
         BadRequest,
         /// The body is larger than the configured limit.
@@ -47,6 +53,7 @@
             | Self::Stopping
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::ResponseLost => StatusCode::BAD_GATEWAY,
@@ -64,6 +71,7 @@
         match self {
             Self::NotReady => "not_ready",
             Self::NoRoute => "no_route",
+            Self::Unauthorized => "unauthorized",
             Self::BadRequest => "bad_request",
             Self::BodyTooLarge => "body_too_large",
             Self::NoTarget => "no_target",
@@ -107,6 +115,9 @@
             .status(self.kind.status())
             .content_type("text/plain; charset=utf-8")
             .body(format!("{}: {}\n", self.kind.name(), self.detail));
+        if self.kind == FailureKind::Unauthorized {
+            res.headers_mut().insert(header::WWW_AUTHENTICATE, CHALLENGE);
+        }
         let delay = self.retry_after.map(|delay| format!("{:.3}", delay.as_secs_f64()));
         if let Some(value) = delay.and_then(|text| HeaderValue::from_str(&text).ok()) {
             res.headers_mut().insert(header::RETRY_AFTER, value);
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by the control thread and the traffic thread.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -56,6 +56,9 @@
     is_wait_over: watch::Sender<bool>,
     /// Set once the view has matched the current state of the store.
     pub(crate) has_been_current: AtomicBool,
+    /// Latest instant at which the published view was known to match the store, in microseconds of
+    /// the clock; 0 if it never was.
+    fresh_at_us: AtomicU64,
     /// Becomes true once the view holds a configuration.
     pub(crate) has_configuration: watch::Sender<bool>,
     traffic: Mutex<TrafficState>,
@@ -223,6 +226,7 @@
             stop: OnceLock::new(),
             is_wait_over: watch::Sender::new(false),
             has_been_current: AtomicBool::new(false),
+            fresh_at_us: AtomicU64::new(0),
             has_configuration: watch::Sender::new(false),
             traffic: Mutex::default(),
         }))
@@ -257,6 +261,23 @@
         }
     }
 
+    /// Records the latest instant at which the view, as published last, was known to match the
+    /// store.
+    pub(crate) fn set_fresh_at(&self, fresh_at: Tick) {
+        self.fresh_at_us.store(fresh_at.as_micros(), Ordering::Release);
+    }
+
+    /// Returns the time since the view was last known to match the store; the longest duration if
+    /// it never was.
+    ///
+    /// A view that is loaded after this call contains all changes that the store held at that time.
+    pub(crate) fn staleness(&self) -> Duration {
+        match Tick::from_micros(self.fresh_at_us.load(Ordering::Acquire)) {
+            Tick::ZERO => Duration::MAX,
+            fresh_at => self.clock.now().since(fresh_at),
+        }
+    }
+
     /// Returns the limits of the fleet's retry budget.
     pub(crate) fn retry_limits(&self) -> RetryLimits {
         let budget = self.settings.retry_budget;
