feat: targets with open connections are preferred, and requests wait by priority

Ruled out: connections that the targets close (none of the opened ones replaced a stale one), the limit of idle connections.

Change: with the feature `pool`, targets to which a connection is open are probed first, and at most one new connection is opened beside open ones in a round; a request that can no longer meet its aim is held with a longer interval. Where a service has requests of different priorities, the most urgent ones are sent above the knee while they are in time, and less urgent ones probe the less often, the more time they can spare.

--- a/ibiscroft-core/tests/it/fleet.rs
+++ b/ibiscroft-core/tests/it/fleet.rs
@@ -1,11 +1,13 @@
 //! Tests of `fleet`.
 
 mod budgets;
+mod connection_reuse;
 mod feed;
 mod herds;
 mod holding;
 mod leaving;
 mod organisations;
+mod priority;
 mod probing;
 mod refusals;
 mod resting;
--- a/ibiscroft-edge/src/connection_pool.rs
+++ b/ibiscroft-edge/src/connection_pool.rs
@@ -1,6 +1,6 @@
 //! Pool of idle connections to targets.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Mutex, PoisonError};
 
 use ibiscroft_core::ids::TargetName;
@@ -32,6 +32,18 @@
         None
     }
 
+    /// Returns those of the targets to which an idle connection is open.
+    pub(crate) fn connected<'a>(
+        &self,
+        targets: impl IntoIterator<Item = &'a TargetName>,
+    ) -> HashSet<TargetName> {
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_connected = |target: &&TargetName| {
+            idle.get(*target).is_some_and(|open| open.iter().any(TargetConnection::is_usable))
+        };
+        targets.into_iter().filter(is_connected).cloned().collect()
+    }
+
     /// Returns a connection to the pool after its last response was read completely.
     ///
     /// The connection is closed if it is no longer usable or the pool holds enough for the target.
--- a/ibiscroft-edge/src/filters/forward.rs
+++ b/ibiscroft-edge/src/filters/forward.rs
@@ -10,7 +10,7 @@
 
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::{
-    AttemptOutcome, ExpectedCapacity, Hold, ProbeReport, Target, retry_after_rest,
+    AttemptOutcome, ExpectedCapacity, Hold, ProbeReport, Standing, Target, retry_after_rest,
 };
 
 use self::attempt_log::{log_attempt, log_error_response, log_hold};
@@ -55,6 +55,7 @@
         let shared = &self.shared;
         let limits = shared.retry_limits();
         shared.traffic().retry_window(&ex.service, limits).note_request(shared.clock.now());
+        let standing = shared.note_rank(ex);
         let mut last_failure = None;
         loop {
             let selected = match select::<D>(shared, ex, &progress.attempted).await {
@@ -66,7 +67,7 @@
                 }
             };
             if progress.attempted.is_empty()
-                && let Some(delay) = self.hold_delay(ex, &selected.report)
+                && let Some(delay) = self.hold_delay(ex, &selected.report, standing)
             {
                 log_hold(ex, &selected, delay);
                 shared.metrics.holds.inc();
@@ -230,7 +231,12 @@
 
     /// Returns how long a request is held before targets are probed again, `None` if it is sent to
     /// the target that reported `best`.
-    fn hold_delay(&self, ex: &Exchange, best: &ProbeReport) -> Option<Duration> {
+    fn hold_delay(
+        &self,
+        ex: &Exchange,
+        best: &ProbeReport,
+        standing: Standing,
+    ) -> Option<Duration> {
         let shared = &self.shared;
         if !shared.has_spare_probes() {
             return None;
@@ -241,6 +247,8 @@
             deadline: ex.deadline,
             baseline_latency: traffic.baseline_latency(&ex.latency_class)?,
             slowdown: traffic.slowdown(&ex.service),
+            holds_late: shared.reuses_connections,
+            standing,
         };
         drop(traffic);
         hold.delay(shared.clock.now(), best)
--- a/ibiscroft-edge/src/filters/select/candidates.rs
+++ b/ibiscroft-edge/src/filters/select/candidates.rs
@@ -1,7 +1,10 @@
 //! The order in which the targets of a service are probed.
 
+use std::cmp::Reverse;
+use std::collections::HashSet;
+
 use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::{Target, View};
+use ibiscroft_core::fleet::{Target, View, new_connections, probe_order};
 use ibiscroft_core::ids::{TargetName, ZoneName};
 use ibiscroft_core::rendezvous;
 use rand::seq::SliceRandom;
@@ -30,6 +33,8 @@
     other_zones: Vec<Target>,
     /// Targets that are excluded because they could not be reached recently.
     excluded: Vec<Target>,
+    /// Targets to which an idle connection is open; `None` if these are not preferred.
+    connected: Option<HashSet<TargetName>>,
     /// When the first of the targets that asked for a rest may be used again.
     resting_until: Option<Tick>,
 }
@@ -52,6 +57,7 @@
             own_zone: Vec::new(),
             other_zones: Vec::new(),
             excluded: Vec::new(),
+            connected: None,
             resting_until: None,
         };
         for target in view.usable_targets(&ex.service) {
@@ -73,11 +79,20 @@
             list.push(target.clone());
         }
         let instance = shared.settings.instance.as_str();
+        candidates.connected = shared.reuses_connections.then(|| {
+            let targets = candidates.own_zone.iter().chain(&candidates.other_zones);
+            shared.pool.connected(targets.map(|target| &target.name))
+        });
         for list in
             [&mut candidates.own_zone, &mut candidates.other_zones, &mut candidates.excluded]
         {
             shuffle_by_subset(list, instance);
-            list.sort_by_key(|target| std::cmp::Reverse(traffic.is_likely_slow(now, &target.name)));
+            list.sort_by_key(|target| {
+                let is_slow = traffic.is_likely_slow(now, &target.name);
+                let connected = candidates.connected.as_ref();
+                let is_open = connected.is_none_or(|connected| connected.contains(&target.name));
+                Reverse(probe_order(is_slow, is_open))
+            });
         }
         drop(traffic);
         candidates
@@ -121,6 +136,16 @@
             round.extend(take_last(&mut self.own_zone, LATER_ROUND_OWN_ZONE_PROBES));
             round.extend(take_last(&mut self.other_zones, LATER_ROUND_OTHER_ZONE_PROBES));
         }
+        if let Some(connected) = &self.connected {
+            let (open, new): (Vec<Target>, Vec<Target>) =
+                round.into_iter().partition(|target| connected.contains(&target.name));
+            let limit = new_connections(open.len(), new.len());
+            round = open;
+            let mut new = new.into_iter();
+            round.extend(new.by_ref().take(limit));
+            let left = new.collect();
+            self.put_back(left);
+        }
         if round.is_empty() {
             round.extend(take_last(&mut self.excluded, FIRST_ROUND_PROBES));
         }
--- a/ibiscroft-edge/src/settings.rs
+++ b/ibiscroft-edge/src/settings.rs
@@ -52,6 +52,13 @@
     pub bandwidth_mbps: f64,
     /// Maximum time between a stop signal and the end of the process, in seconds; 0.5 to 3600.
     pub stop_grace_s: f64,
+    /// Optional behaviour that the deployment asks for; names that are not known are ignored.
+    ///
+    /// `pool`: new connections are expensive. Targets to which a connection is open are preferred,
+    /// and a request that can no longer meet its aim waits for free capacity, as its caller would
+    /// return on a new connection.
+    #[serde(default)]
+    pub features: Vec<String>,
 }
 
 /// Returns the default timeout of a probe, in seconds; longer than the delay caused by a slow link of
@@ -129,6 +136,11 @@
         Ok(settings)
     }
 
+    /// Returns whether the deployment asks for an optional behaviour.
+    pub(crate) fn has_feature(&self, name: &str) -> bool {
+        self.features.iter().any(|feature| feature == name)
+    }
+
     /// Returns the timeout of a probe.
     pub(crate) fn probe_timeout(&self) -> Duration {
         Duration::from_secs_f64(self.probe_timeout_s)
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -9,8 +9,9 @@
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::{
     AttemptOutcome, ColdTargetLimiter, Departure, FleetSize, GatewayCount, Hint, LeavingTargets,
-    MAX_REST, ProbeBudget, ProbeReport, RestingTargets, RetryLimits, RetryWindow, Revision, Route,
-    SaturationSlowdown, StopSchedule, Target, TargetHealth, TrafficSplit, View,
+    MAX_REST, ProbeBudget, ProbeReport, Rank, RecentRanks, RestingTargets, RetryLimits,
+    RetryWindow, Revision, Route, SaturationSlowdown, Standing, StopSchedule, Target, TargetHealth,
+    TrafficSplit, View,
 };
 use ibiscroft_core::ids::{ServiceName, TargetName};
 use tokio::sync::{mpsc, watch};
@@ -19,6 +20,7 @@
 use crate::connection_pool::ConnectionPool;
 use crate::dialect::TargetWish;
 use crate::events::event;
+use crate::exchange::Exchange;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::suspects::Suspects;
@@ -32,6 +34,8 @@
 /// Time after the start of the process until which requests wait for the first configuration;
 /// several times the duration of a listing on a slow link.
 const FIRST_CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(600);
+/// Name of the feature that makes the gateway prefer targets to which a connection is open.
+const POOL_FEATURE: &str = "pool";
 /// Weight of the newest sample in the moving average of the baseline latency.
 const BASELINE_SAMPLE_WEIGHT: f64 = 0.1;
 
@@ -48,6 +52,8 @@
     pub(crate) metrics: Metrics,
     /// Idle connections to targets.
     pub(crate) pool: ConnectionPool,
+    /// Whether targets to which a connection is open are preferred.
+    pub(crate) reuses_connections: bool,
     /// Queue of hints for the other gateways, from the traffic thread to the control thread.
     pub(crate) hints: mpsc::Sender<Hint>,
     /// Set once a graceful shutdown has begun.
@@ -100,6 +106,8 @@
     /// Baseline latency of each class, in seconds.
     baselines: HashMap<LatencyClass, f64>,
     slowdowns: HashMap<ServiceName, SaturationSlowdown>,
+    /// Priorities of the recent requests of each service.
+    ranks: HashMap<ServiceName, RecentRanks>,
 }
 
 impl TrafficState {
@@ -217,6 +225,7 @@
         hints: mpsc::Sender<Hint>,
     ) -> Result<Arc<Self>, prometheus::Error> {
         Ok(Arc::new(Self {
+            reuses_connections: settings.has_feature(POOL_FEATURE),
             settings,
             clock: Clock::start(),
             view: ArcSwap::from_pointee(View::default()),
@@ -278,6 +287,13 @@
         }
     }
 
+    /// Records the priority of a request and returns how it compares with others of its service.
+    pub(crate) fn note_rank(&self, ex: &Exchange) -> Standing {
+        let rank = Rank { organisation: ex.priority, route: ex.route.priority };
+        let mut traffic = self.traffic();
+        traffic.ranks.entry(ex.service.clone()).or_default().note(self.clock.now(), rank)
+    }
+
     /// Returns the limits of the fleet's retry budget.
     pub(crate) fn retry_limits(&self) -> RetryLimits {
         let budget = self.settings.retry_budget;
