fix: responses with an invalid status count as lost

Cause: the HTTP client accepts all status codes from 100 to 999 and returns 101 as a final response.

Ruled out: to treat every interim response as lost; servers may send 100, 102 and 103 before the final response. Only one with the fields of a body, or with the seal that a target sets once a request has run, stands in place of the final response.

Change: a connection reports a response whose final status is outside 200 to 599, and an interim response that was meant to be final, as lost. The request then gets 502 or another target, and a health check counts as failed.

--- a/ibiscroft-edge/src/connection.rs
+++ b/ibiscroft-edge/src/connection.rs
@@ -7,16 +7,18 @@
 mod head_limit;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, Uri, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -96,19 +98,43 @@
 
     /// Sends a request and waits for the head of its response.
     ///
+    /// An interim response (status 1xx except 101) for whose header fields `is_final` returns true
+    /// ends the wait: the target meant it to be the final one and sends no other.
+    ///
     /// # Errors
     ///
-    /// Returns [`ConnectionError::Lost`] if the target may have received the request, and
-    /// [`ConnectionError::NotSent`] if it cannot have.
+    /// Returns [`ConnectionError::Lost`] if the target may have received the request, also if its
+    /// response has a status that no final response can have, and [`ConnectionError::NotSent`] if
+    /// it cannot have received the request.
     pub(crate) async fn exchange(
         &mut self,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
+        is_final: fn(&HeaderMap) -> bool,
     ) -> Result<Response<Incoming>, ConnectionError> {
         if let Err(error) = self.sender.ready().await {
             return Err(ConnectionError::NotSent(error.to_string()));
         }
         self.head_limit.start();
-        match self.sender.try_send_request(req).await {
+        let final_interim = Arc::new(Notify::new());
+        let notify = Arc::clone(&final_interim);
+        hyper::ext::on_informational(&mut req, move |res| {
+            if is_final(res.headers()) {
+                notify.notify_one();
+            }
+        });
+        let sent = tokio::select! {
+            sent = self.sender.try_send_request(req) => sent,
+            () = final_interim.notified() => {
+                let detail = "an interim response in place of the final one";
+                return Err(ConnectionError::Lost(detail.to_string()));
+            }
+        };
+        match sent {
+            Ok(res) if !is_valid_final(res.status()) => {
+                let status = res.status();
+                let detail = format!("a final response with the status {}", status.as_str());
+                Err(ConnectionError::Lost(detail))
+            }
             Ok(res) => {
                 self.head_limit.lift();
                 self.note_response_head(res.headers());
@@ -162,6 +188,20 @@
     Ok(req)
 }
 
+/// Returns whether a final response can have this status.
+///
+/// The HTTP client accepts all codes from 100 to 999, and 101 as that of a final response. Targets
+/// are never asked to switch protocols, since the field for it is hop-by-hop.
+fn is_valid_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
+/// Returns whether the header fields of a response announce a body, which interim responses do not
+/// have.
+pub(crate) fn announces_body(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns whether a `Connection` header field lists `token`.
 fn has_connection_token(headers: &HeaderMap, token: &str) -> bool {
     headers
--- a/ibiscroft-edge/src/filters/select.rs
+++ b/ibiscroft-edge/src/filters/select.rs
@@ -377,7 +377,10 @@
     let req = connection::build_request(Method::GET, health_path, headers, Bytes::new())
         .map_err(|error| format!("build health check for path {health_path:?}: {error}"))?;
     shared.metrics.probes.inc();
-    let res = connection.exchange(req).await.map_err(|error| format!("{error:?}"))?;
+    let res = connection
+        .exchange(req, connection::announces_body)
+        .await
+        .map_err(|error| format!("{error:?}"))?;
     let (head, body) = res.into_parts();
     let response = D::parse_probe_response(head.status, &head.headers, target.slots);
     Limited::new(body, MAX_PROBE_BODY_BYTES)
--- a/ibiscroft-edge/src/filters/send.rs
+++ b/ibiscroft-edge/src/filters/send.rs
@@ -6,13 +6,13 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{StreamExt, stream};
-use http::StatusCode;
 use http::response::Parts;
+use http::{HeaderMap, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::Target;
-use ibiscroft_core::ids::{RequestId, TargetName};
+use ibiscroft_core::ids::{RequestId, Slots, TargetName};
 use tokio::time::Instant;
 
 use super::forward::LATE_RESPONSE_GRACE;
@@ -67,7 +67,7 @@
             .map_err(|error| SendError::NotSent(error.to_string()))?;
     let SelectedTarget { target, mut connection, .. } = selected;
     let exchange = async {
-        let res = connection.exchange(req).await.map_err(|error| match error {
+        let res = connection.exchange(req, is_final::<D>).await.map_err(|error| match error {
             ConnectionError::NotSent(detail) => SendError::NotSent(detail),
             ConnectionError::Lost(detail) => SendError::Lost(detail),
         })?;
@@ -134,6 +134,12 @@
     }
 }
 
+/// Returns whether the header fields of an interim response are those of a final one.
+fn is_final<D: Dialect>(headers: &HeaderMap) -> bool {
+    connection::announces_body(headers)
+        || D::parse_response(StatusCode::OK, headers, Slots(0)).is_sealed
+}
+
 /// Returns whether callers take a status code to mean that the request has not run.
 ///
 /// If a target responds with such a status without refusing the request, the response counts as
