fix(gateway): responses with an invalid status count as lost

The new test showed on the code before: 600, 999 and an unrequested 101 were forwarded to the caller, for GET and for at-most-once requests. 000, 099 and interim statuses with a body already counted as lost.

Ruled out: an error kind of its own. Codes that the HTTP client itself cannot parse are reported as a lost connection too, and callers act on both in the same way. To recognise an interim response in place of the final one was not possible here: the HTTP client does not show interim responses; such a request gets 504 at its deadline, and nothing is forwarded. A test states that.

Change: a response whose status is outside 200 to 599 counts as lost, with the status in the detail.

--- a/ibiscroft-gateway/src/backend_client.rs
+++ b/ibiscroft-gateway/src/backend_client.rs
@@ -189,10 +189,16 @@
     HeaderValue::from(u64::try_from(value).unwrap_or(u64::MAX))
 }
 
-/// Returns the head of a response, or an error if the response belongs to another request or
-/// reports that the target rejected the request or dropped it at its deadline.
+/// Returns the head of a response, or an error if the response has a status that no final response
+/// can have, belongs to another request, or reports that the target rejected the request or dropped
+/// it at its deadline.
 fn check_response(ex: &Exchange, res: Response) -> Result<ResponseHead, SendError> {
     let status = res.status();
+    // The HTTP client accepts all codes from 100 to 999, and 101 as that of a final response.
+    if !(200..600).contains(&status.as_u16()) {
+        let detail = format!("a final response with the status {}", status.as_str());
+        return Err(SendError::Unknown(ErrorKind::ConnectionLost, detail));
+    }
     let mut headers = res.headers().clone();
     let is_draining = header_text(&headers, headers::TARGET_STATE) == Some("draining");
     let run = header_text(&headers, headers::RUN_ID).unwrap_or_default();
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod catalogues;
 mod cold_start;
 mod end_to_end;
+mod invalid_status;
 mod leaving;
 mod operators;
 mod overload;
