feat(core): fleet-wide quotas of organisations

An organisation's limit holds for all gateways together, but a gateway sees some requests per second only and may not ask others or the store about each.

QuotaGate decides at each gateway, reports of demand are summed along the tree of updates, and QuotaLedger at the root derives the fraction to admit.

--- a/ibiscroft-core/src/fleet.rs
+++ b/ibiscroft-core/src/fleet.rs
@@ -17,6 +17,7 @@
 mod organisation;
 mod probe;
 mod probe_budget;
+mod quota;
 mod relay;
 mod resting_targets;
 mod retry_after;
@@ -43,6 +44,10 @@
 pub use organisation::{KeyDigest, OrganisationPolicy, Organisations, Quota};
 pub use probe::{MAX_PROBE_ROUNDS, ProbeDecision, ProbeReport, ProbeSelection};
 pub use probe_budget::ProbeBudget;
+pub use quota::{
+    Demand, LimitedOrganisation, QuotaDecision, QuotaGate, QuotaLedger, QuotaNotice, QuotaReport,
+    QuotaStatus, QuotaTolerance,
+};
 pub use relay::Relay;
 pub use resting_targets::{MAX_REST, RestingTargets};
 pub use retry_after::{ExpectedCapacity, retry_after_rest};
--- a/ibiscroft-core/tests/it/fleet.rs
+++ b/ibiscroft-core/tests/it/fleet.rs
@@ -6,6 +6,7 @@
 mod holding;
 mod leaving;
 mod probing;
+mod quota;
 mod refusals;
 mod resting;
 mod routes;
