feat: quotas of organisations in the edge daemon

The limits of a configuration were decoded but not applied.

A filter after account asks the quota gate for each request with an organisation: 429 over_quota beyond the limit, 503 quota_unknown when this gateway is out of contact and its share is used up. A request that no target has run is given back. Followers report demand to their source, and the gateway that reads the store sends notices as hints. Nothing is sent while no organisation has a limit; a notice of a follower is ignored. Settings without quota use the values of the requirement: ruled out was to leave limits unenforced there, as an operator who states one means it to be kept.

--- a/ibiscroft-core/src/fleet/hint.rs
+++ b/ibiscroft-core/src/fleet/hint.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::leaving_targets::Departure;
+use super::quota::{QuotaNotice, QuotaReport};
 use super::target::GatewayCount;
 use crate::quarantine::{Fingerprint, Loss};
 
@@ -15,6 +16,8 @@
     Answered(Fingerprint),
     /// A target announced in a response that it is leaving.
     Leaving(Departure),
+    /// The fractions of requests that the root of the fleet admits; valid only from a source.
+    Quota(QuotaNotice),
 }
 
 /// A message from a follower to its source.
@@ -24,4 +27,6 @@
     Gateways(GatewayCount),
     /// An observation of the follower or of one of its own followers.
     Hint(Hint),
+    /// Demand of organisations at the follower and its own followers.
+    Quota(QuotaReport),
 }
--- a/ibiscroft-core/src/fleet/quota/share.rs
+++ b/ibiscroft-core/src/fleet/quota/share.rs
@@ -30,7 +30,7 @@
     pub(super) fn try_take(&mut self, now: Tick, quota: Quota, slack: f64, gateways: f64) -> bool {
         let rate = quota.rate / gateways;
         // A quota has a rate above 0.
-        let validity = (quota.burst + slack) / quota.rate;
+        let validity = (quota.burst + slack).max(1.0) / quota.rate;
         let elapsed = now.since(self.updated_at).as_secs_f64();
         let mut total = self.part + rate * elapsed;
         // Tokens earned before the oldest valid one do not matter.
--- a/ibiscroft-edge/src/daemon.rs
+++ b/ibiscroft-edge/src/daemon.rs
@@ -20,9 +20,11 @@
 use crate::filters::account::Account;
 use crate::filters::forward::Forward;
 use crate::filters::quarantine::Quarantine;
+use crate::filters::quota::LimitByQuota;
 use crate::filters::stop::RefuseWhenStopping;
 use crate::membership::Membership;
 use crate::mesh;
+use crate::quotas;
 use crate::registry::Registry;
 use crate::server::CallerEndpoint;
 use crate::settings::Settings;
@@ -80,8 +82,9 @@
         }
     };
     let control = async move {
+        let exchange_demand = quotas::exchange(Arc::clone(&shared), hub.clone());
         let serve = mesh::serve(shared, listener, hub);
-        tokio::join!(feeder.run(), membership.run(), serve, forward_hints);
+        tokio::join!(feeder.run(), membership.run(), serve, forward_hints, exchange_demand);
     };
     std::thread::Builder::new()
         .name("control".to_string())
@@ -104,7 +107,8 @@
     let forward = Forward::<D>::new(Arc::clone(&shared));
     let quarantine = Quarantine::new(Arc::clone(&shared), forward);
     let refuse = RefuseWhenStopping::new(Arc::clone(&shared), quarantine);
-    let chain = Account::new(Arc::clone(&shared), refuse);
+    let limit = LimitByQuota::new(Arc::clone(&shared), refuse);
+    let chain = Account::new(Arc::clone(&shared), limit);
     let endpoint =
         CallerEndpoint::<D, _>::new(Arc::clone(&shared), chain, Arc::clone(&connections));
     // Offsets from the stop signal.
--- a/ibiscroft-edge/src/events.rs
+++ b/ibiscroft-edge/src/events.rs
@@ -60,6 +60,8 @@
     SourceLost 4102 Warn "The connection to the source gateway failed, or the source sent no fresh update in time.",
     MeshRefused 4103 Warn "A follower's connection failed or could not be accepted, or an update could not be encoded.",
     HintTaken 4104 Info "A hint was received: a request was lost when its target crashed, or such a request was answered since.",
+    QuotaDisconnected 4105 Warn "No notice about quotas has arrived in time; this gateway admits its share of each limit.",
+    QuotaConnected 4106 Info "Notices about quotas arrive; requests are admitted by the demand of the whole fleet.",
     RequestAnswered 6101 Info "A target's response to a request is sent to the caller.",
     RequestRefused 6102 Info "A request was refused; no target has run it.",
     RequestFailed 6103 Warn "A request failed; a target may have run it.",
--- a/ibiscroft-edge/src/feed_hub.rs
+++ b/ibiscroft-edge/src/feed_hub.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::{GatewayCount, Hint, Revision, Update, UpdateHistory, View};
+use ibiscroft_core::fleet::{
+    FollowerMessage, GatewayCount, Hint, Revision, Update, UpdateHistory, View,
+};
 use tokio::sync::broadcast;
 
 use crate::events::event;
@@ -67,7 +69,7 @@
     message: FeedMessage,
 }
 
-/// Distributes updates to the followers of this gateway and hints to its source.
+/// Distributes updates to the followers of this gateway, and hints and reports to its source.
 #[derive(Clone, Debug)]
 pub(crate) struct FeedHub {
     /// Updates for the followers.
@@ -75,8 +77,8 @@
     /// Recent updates, for followers that connect or reconnect.
     history: Arc<Mutex<UpdateHistory<FeedMessage>>>,
     cached_full_view: Arc<Mutex<Option<CachedFullView>>>,
-    /// Hints for the source.
-    source_hints: broadcast::Sender<Hint>,
+    /// Hints and reports for the source.
+    to_source: broadcast::Sender<FollowerMessage>,
     /// Number of gateways that receive updates through each follower, itself included.
     followers: Arc<Mutex<HashMap<SocketAddr, GatewayCount>>>,
     /// Latest instant at which the view was known to match the store, in microseconds of the
@@ -88,10 +90,10 @@
     /// Creates a hub without followers and history.
     pub(crate) fn new() -> Self {
         let (tx, _) = broadcast::channel(QUEUE_CAPACITY);
-        let (source_hints, _) = broadcast::channel(QUEUE_CAPACITY);
+        let (to_source, _) = broadcast::channel(QUEUE_CAPACITY);
         Self {
             tx,
-            source_hints,
+            to_source,
             history: Arc::default(),
             cached_full_view: Arc::default(),
             followers: Arc::default(),
@@ -140,15 +142,15 @@
         }
     }
 
-    /// Sends a hint to the gateway that this one follows, if any.
-    pub(crate) fn send_hint_to_source(&self, hint: Hint) {
+    /// Sends a message to the gateway that this one follows, if any.
+    pub(crate) fn send_to_source(&self, message: FollowerMessage) {
         // Sending fails only if this gateway follows no other one.
-        let _ = self.source_hints.send(hint);
+        let _ = self.to_source.send(message);
     }
 
-    /// Subscribes to the hints that are to be sent to the source.
-    pub(crate) fn subscribe_source_hints(&self) -> broadcast::Receiver<Hint> {
-        self.source_hints.subscribe()
+    /// Subscribes to the messages that are to be sent to the source.
+    pub(crate) fn subscribe_to_source(&self) -> broadcast::Receiver<FollowerMessage> {
+        self.to_source.subscribe()
     }
 
     /// Subscribes to updates after `revision`.
--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -84,6 +84,7 @@
                 let revision = self.view.revision();
                 event!(SourceChanged, "source={} revision={revision}", source_name(&source));
             }
+            self.shared.quotas.set_root(source == Source::Store);
             match &source {
                 Source::Store => {
                     self.read_store().await;
@@ -131,7 +132,7 @@
         let mut monitor = SourceMonitor::new(connected_at);
         let mut pending_read = None;
         let mut sent_count = GatewayCount(0);
-        let mut hints = self.hub.subscribe_source_hints();
+        let mut messages = self.hub.subscribe_to_source();
         let lasting_hints = self.shared.traffic().lasting_hints();
         for hint in lasting_hints {
             if let Err(error) = mesh::send_encoded(&mut stream, &FollowerMessage::Hint(hint)).await
@@ -171,10 +172,9 @@
                     }
                     continue;
                 }
-                Ok(hint) = hints.recv() => {
-                    let message = FollowerMessage::Hint(hint);
+                Ok(message) = messages.recv() => {
                     if let Err(error) = mesh::send_encoded(&mut stream, &message).await {
-                        return FollowEnd::Failed(format!("send hint: {error:#}"));
+                        return FollowEnd::Failed(format!("send hint or report: {error:#}"));
                     }
                     continue;
                 }
@@ -257,6 +257,11 @@
         let now = self.shared.clock.now();
         let mut forwarded = Vec::new();
         for hint in hints {
+            if let Hint::Quota(notice) = &hint {
+                self.shared.quotas.on_notice(&self.shared, notice);
+                forwarded.push(hint);
+                continue;
+            }
             if self.shared.traffic().on_hint(now, &hint) {
                 event!(HintTaken, "source=peer {hint:?}");
                 forwarded.push(hint);
@@ -296,6 +301,7 @@
             if let Some(configuration) = self.view.configuration() {
                 self.shared.has_configuration.send_replace(true);
                 self.shared.traffic().retain_routes(configuration.routes());
+                self.shared.quotas.configure(configuration);
             }
         }
         self.shared.set_fresh_at(self.source_selector.fresh_at());
--- a/ibiscroft-edge/src/filters.rs
+++ b/ibiscroft-edge/src/filters.rs
@@ -1,10 +1,11 @@
-//! Filters that a request passes through, in this order: identify, account, stop, quarantine,
+//! Filters that a request passes through, in this order: identify, account, quota, stop, quarantine,
 //! forward.
 
 pub(crate) mod account;
 pub(crate) mod forward;
 pub(crate) mod identify;
 pub(crate) mod quarantine;
+pub(crate) mod quota;
 mod select;
 mod send;
 pub(crate) mod stop;
--- /dev/null
+++ b/ibiscroft-edge/src/filters/quota.rs
@@ -0,0 +1,53 @@
+//! Refuses requests beyond the quota of their organisation.
+
+use std::sync::Arc;
+
+use ibiscroft_core::fleet::QuotaDecision;
+
+use super::Handler;
+use crate::exchange::Exchange;
+use crate::reply::{Failure, FailureKind, Reply};
+use crate::shared::Shared;
+
+/// Filter that admits requests of organisations with a quota, each caller attempt once.
+#[derive(Debug)]
+pub(crate) struct LimitByQuota<H> {
+    shared: Arc<Shared>,
+    next: H,
+}
+
+impl<H> LimitByQuota<H> {
+    /// Creates a filter that passes admitted requests to `next`.
+    pub(crate) fn new(shared: Arc<Shared>, next: H) -> Self {
+        Self { shared, next }
+    }
+}
+
+impl<H: Handler> Handler for LimitByQuota<H> {
+    async fn handle(&self, ex: &Exchange) -> Reply {
+        let Some(organisation) = &ex.organisation else {
+            return self.next.handle(ex).await;
+        };
+        match self.shared.quotas.admit(&self.shared, organisation) {
+            QuotaDecision::Unlimited => self.next.handle(ex).await,
+            QuotaDecision::Admitted => {
+                let reply = self.next.handle(ex).await;
+                if reply.as_ref().is_err_and(|failure| failure.kind.guarantees_not_run()) {
+                    self.shared.quotas.give_back(&self.shared, organisation);
+                }
+                reply
+            }
+            QuotaDecision::OverQuota { fraction, retry_after } => {
+                let detail = format!("{fraction:.3} of the requests of {organisation} is admitted");
+                Err(Failure::new(FailureKind::OverQuota, detail).retry_after(retry_after))
+            }
+            QuotaDecision::Unknown { retry_after } => {
+                let detail = format!(
+                    "the use of the quota of {organisation} is not known here, and this gateway's \
+                     share is used up"
+                );
+                Err(Failure::new(FailureKind::QuotaUnknown, detail).retry_after(retry_after))
+            }
+        }
+    }
+}
--- a/ibiscroft-edge/src/lib.rs
+++ b/ibiscroft-edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod membership;
 mod mesh;
 mod metrics;
+mod quotas;
 mod registry;
 mod reply;
 mod server;
@@ -40,4 +41,4 @@
 };
 pub use log_sink::start_log_writer;
 pub use registry::{Lease, ListingSample, Registry, RegistryError};
-pub use settings::{RetryBudgetSettings, Settings};
+pub use settings::{QuotaSettings, RetryBudgetSettings, Settings};
--- a/ibiscroft-edge/src/mesh.rs
+++ b/ibiscroft-edge/src/mesh.rs
@@ -2,7 +2,8 @@
 //!
 //! A gateway sends updates of its view to each follower. Such a message is the age of the update
 //! in microseconds followed by the update, both in CBOR. In the other direction a follower sends
-//! [`FollowerMessage`]s in CBOR: hints, and the number of gateways that receive updates through it.
+//! [`FollowerMessage`]s in CBOR: hints, the number of gateways that receive
+//! updates through it, and the demand of organisations with a quota.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -91,6 +92,7 @@
 
 /// Applies a hint of a follower, and forwards it to the source and all followers if they need it.
 pub(crate) fn apply_and_forward_hint(shared: &Shared, hub: &FeedHub, hint: Hint) {
+    // A notice about quotas of a follower is not taken: only sources send them.
     if shared.traffic().on_hint(shared.clock.now(), &hint) {
         event!(HintTaken, "source=follower {hint:?}");
         forward_hint(shared, hub, hint);
@@ -100,7 +102,7 @@
 /// Forwards a hint to the source and all followers.
 pub(crate) fn forward_hint(shared: &Shared, hub: &FeedHub, hint: Hint) {
     let now = shared.clock.now();
-    hub.send_hint_to_source(hint.clone());
+    hub.send_to_source(FollowerMessage::Hint(hint.clone()));
     hub.send_hints_to_followers(shared.view.load().revision(), vec![hint], now);
 }
 
@@ -141,6 +143,7 @@
                 tokio::spawn(async move {
                     let served = serve_follower(&shared, stream, peer, &hub).await;
                     hub.set_follower_count(peer, GatewayCount(0));
+                    shared.quotas.forget_follower(peer);
                     if let Err(error) = served {
                         event!(MeshRefused, "peer={peer} reason={:?}", format!("{error:#}"));
                     }
@@ -201,6 +204,9 @@
                     match ciborium::from_reader(bytes.as_ref())? {
                         FollowerMessage::Gateways(count) => hub.set_follower_count(peer, count),
                         FollowerMessage::Hint(hint) => apply_and_forward_hint(shared, hub, hint),
+                        FollowerMessage::Quota(report) => {
+                            shared.quotas.on_report(shared, peer, &report);
+                        }
                     }
                 }
                 continue;
--- a/ibiscroft-edge/src/metrics.rs
+++ b/ibiscroft-edge/src/metrics.rs
@@ -33,6 +33,10 @@
     pub(crate) hints_dropped: IntCounter,
     /// Times that a request was held until targets are probed again.
     pub(crate) holds: IntCounter,
+    /// Decisions about requests of organisations with a quota, by kind.
+    pub(crate) quota_decisions: IntCounterVec,
+    /// Whether notices about quotas arrive, 0 or 1.
+    pub(crate) quota_connected: IntGauge,
     /// Requests in flight.
     pub(crate) in_flight: IntGauge,
 }
@@ -83,6 +87,17 @@
                 "Hints for other gateways that were dropped",
             )?,
             holds: counter(&registry, "edge_requests_held_total", "Waits for a better target")?,
+            quota_decisions: counter_vec(
+                &registry,
+                "edge_quota_decisions_total",
+                "Requests of organisations with a quota",
+                "decision",
+            )?,
+            quota_connected: gauge(
+                &registry,
+                "edge_quota_connected",
+                "Whether notices about quotas arrive",
+            )?,
             in_flight: gauge(&registry, "edge_requests_in_flight", "Requests in flight")?,
             registry,
         })
--- /dev/null
+++ b/ibiscroft-edge/src/quotas.rs
@@ -0,0 +1,203 @@
+//! Quotas of organisations at this gateway, and the exchange of demand with others.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ibiscroft_core::fleet::{
+    Configuration, FollowerMessage, GatewayCount, Hint, QuotaDecision, QuotaGate, QuotaLedger,
+    QuotaNotice, QuotaReport, QuotaTolerance,
+};
+use ibiscroft_core::ids::{Generation, OrganisationName};
+use serde_json::{Value, json};
+
+use crate::events::event;
+use crate::feed_hub::FeedHub;
+use crate::settings::QuotaSettings;
+use crate::shared::Shared;
+
+/// Interval at which reports and notices are checked for being due; the minimum time between two.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Quotas at this gateway.
+#[derive(Debug)]
+pub(crate) struct Quotas {
+    settings: QuotaSettings,
+    gate: Mutex<QuotaGate>,
+    /// Whether this gateway reads the store and thus keeps the ledger.
+    is_root: AtomicBool,
+}
+
+/// Converts the settings to the tolerance of the core.
+const fn tolerance(settings: QuotaSettings) -> QuotaTolerance {
+    QuotaTolerance { slack: settings.slack }
+}
+
+impl Quotas {
+    /// Creates the state without limits.
+    pub(crate) fn new(settings: QuotaSettings) -> Self {
+        let gate = Mutex::new(QuotaGate::new(tolerance(settings)));
+        Self { settings, gate, is_root: AtomicBool::new(false) }
+    }
+
+    /// Locks the gate; the guard must not be held across an await.
+    fn gate(&self) -> MutexGuard<'_, QuotaGate> {
+        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes over the limits of a configuration.
+    pub(crate) fn configure(&self, configuration: &Configuration) {
+        self.gate().configure(configuration.organisations.as_ref());
+    }
+
+    /// Sets whether this gateway reads the store.
+    pub(crate) fn set_root(&self, is_root: bool) {
+        self.is_root.store(is_root, Ordering::Relaxed);
+    }
+
+    /// Decides about a request of an organisation and counts it.
+    pub(crate) fn admit(&self, shared: &Shared, organisation: &OrganisationName) -> QuotaDecision {
+        if !self.gate().is_in_use() {
+            return QuotaDecision::Unlimited;
+        }
+        let gateways = fleet(shared);
+        let decision =
+            self.gate().admit(shared.clock.now(), organisation, gateways, rand::random());
+        let label = match decision {
+            QuotaDecision::Unlimited => return decision,
+            QuotaDecision::Admitted => "admitted",
+            QuotaDecision::OverQuota { .. } => "over_quota",
+            QuotaDecision::Unknown { .. } => "quota_unknown",
+        };
+        shared.metrics.quota_decisions.with_label_values(&[label]).inc();
+        decision
+    }
+
+    /// Credits an admitted request that no target has run.
+    pub(crate) fn give_back(&self, shared: &Shared, organisation: &OrganisationName) {
+        self.gate().give_back(shared.clock.now(), organisation);
+        shared.metrics.quota_decisions.with_label_values(&["given_back"]).inc();
+    }
+
+    /// Adds the report of a follower.
+    pub(crate) fn on_report(&self, shared: &Shared, follower: SocketAddr, report: &QuotaReport) {
+        self.gate().on_report(shared.clock.now(), follower, report);
+    }
+
+    /// Forgets a follower that has disconnected.
+    pub(crate) fn forget_follower(&self, follower: SocketAddr) {
+        self.gate().forget_follower(follower);
+    }
+
+    /// Takes over a notice of the source.
+    pub(crate) fn on_notice(&self, shared: &Shared, notice: &QuotaNotice) {
+        self.gate().on_notice(shared.clock.now(), notice);
+    }
+
+    /// Returns the state of each organisation with a limit, for the dump.
+    pub(crate) fn dump(&self, shared: &Shared) -> Value {
+        let gate = self.gate();
+        let entries = gate.status().map(|(name, status)| {
+            json!({
+                "organisation": name, "rate_per_s": status.quota.rate,
+                "burst": status.quota.burst, "fraction": status.fraction,
+                "offered": status.offered, "admitted": status.admitted,
+            })
+        });
+        let entries: Vec<Value> = entries.collect();
+        json!({
+            "connected": gate.is_connected(shared.clock.now()),
+            "root": self.is_root.load(Ordering::Relaxed),
+            "settings": self.settings,
+            "organisations": entries,
+        })
+    }
+}
+
+/// Returns the number of gateways among which a limit is divided.
+///
+/// The gateways in the view count as well: the number in the store is late while a fleet starts.
+fn fleet(shared: &Shared) -> GatewayCount {
+    let members = u32::try_from(shared.view.load().member_count()).unwrap_or(u32::MAX);
+    shared.gateway_count().max(GatewayCount(members))
+}
+
+/// Exchanges demand and fractions with the other gateways.
+struct Exchanger {
+    shared: Arc<Shared>,
+    hub: FeedHub,
+    /// Set while this gateway reads the store.
+    ledger: Option<QuotaLedger>,
+    /// Version of the configuration that the ledger has.
+    version: Option<Generation>,
+    was_connected: bool,
+}
+
+/// Sends reports to the source or, while this gateway reads the store, notices to all followers.
+pub(crate) async fn exchange(shared: Arc<Shared>, hub: FeedHub) {
+    let mut exchanger =
+        Exchanger { shared, hub, ledger: None, version: None, was_connected: false };
+    let mut timer = tokio::time::interval(TICK);
+    // After a pause the missed ticks would find nothing to send.
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        exchanger.step();
+    }
+}
+
+impl Exchanger {
+    fn step(&mut self) {
+        let shared = Arc::clone(&self.shared);
+        let quotas = &shared.quotas;
+        if !quotas.gate().is_in_use() {
+            self.ledger = None;
+            self.was_connected = false;
+            shared.metrics.quota_connected.set(0);
+            return;
+        }
+        if quotas.is_root.load(Ordering::Relaxed) {
+            self.step_root();
+        } else {
+            self.ledger = None;
+            let report = quotas.gate().take_report(shared.clock.now());
+            if let Some(report) = report {
+                self.hub.send_to_source(FollowerMessage::Quota(report));
+            }
+        }
+        let is_connected = quotas.gate().is_connected(shared.clock.now());
+        shared.metrics.quota_connected.set(i64::from(is_connected));
+        if is_connected != self.was_connected {
+            self.was_connected = is_connected;
+            let gateways = fleet(&shared);
+            if is_connected {
+                event!(QuotaConnected, "gateways={gateways}");
+            } else {
+                event!(QuotaDisconnected, "gateways={gateways}");
+            }
+        }
+    }
+
+    fn step_root(&mut self) {
+        let shared = &self.shared;
+        let now = shared.clock.now();
+        let view = shared.view.load();
+        let ledger = self.ledger.get_or_insert_with(|| {
+            self.version = None;
+            QuotaLedger::new(tolerance(shared.quotas.settings))
+        });
+        let version = view.configuration_version();
+        if self.version != Some(version) {
+            self.version = Some(version);
+            ledger.configure(view.configuration().and_then(|cfg| cfg.organisations.as_ref()));
+        }
+        let report = shared.quotas.gate().take_demand(now);
+        ledger.on_report(now, fleet(shared), &report);
+        if let Some(notice) = ledger.notice(now) {
+            shared.quotas.on_notice(shared, &notice);
+            let hints = vec![Hint::Quota(notice)];
+            self.hub.send_hints_to_followers(view.revision(), hints, now);
+        }
+    }
+}
--- a/ibiscroft-edge/src/reply.rs
+++ b/ibiscroft-edge/src/reply.rs
@@ -25,6 +25,10 @@
         BadRequest,
         /// The body is larger than the configured limit.
         BodyTooLarge,
+        /// The organisation of the caller exceeds its quota.
+        OverQuota,
+        /// This gateway does not know how much of the quota others use, and its share is used up.
+        QuotaUnknown,
         /// No target is usable, or none of them can be reached.
         NoTarget,
         /// The best target is expected to respond too late.
@@ -47,6 +51,7 @@
     pub(crate) const fn status(self) -> StatusCode {
         match self {
             Self::NotReady
+            | Self::QuotaUnknown
             | Self::NoTarget
             | Self::Overloaded
             | Self::Shed
@@ -54,6 +59,7 @@
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
+            Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::ResponseLost => StatusCode::BAD_GATEWAY,
@@ -74,6 +80,8 @@
             Self::Unauthorized => "unauthorized",
             Self::BadRequest => "bad_request",
             Self::BodyTooLarge => "body_too_large",
+            Self::OverQuota => "over_quota",
+            Self::QuotaUnknown => "quota_unknown",
             Self::NoTarget => "no_target",
             Self::Overloaded => "overloaded",
             Self::Shed => "shed",
--- a/ibiscroft-edge/src/settings.rs
+++ b/ibiscroft-edge/src/settings.rs
@@ -7,7 +7,7 @@
 use eyre::{WrapErr, ensure};
 use ibiscroft_core::fleet::GatewayCapacity;
 use ibiscroft_core::ids::{InstanceName, ZoneName};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 /// The fleet's retry budget for each service.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
@@ -21,6 +21,24 @@
     pub window_s: f64,
 }
 
+/// The allowed error of the quotas of organisations.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct QuotaSettings {
+    /// Length of the windows in which requests are bounded, in seconds; 1 to 600.
+    pub window_s: f64,
+    /// Requests allowed over the quota, as a fraction of it.
+    pub overage: f64,
+    /// Requests allowed over the quota in each window in addition.
+    pub slack: f64,
+}
+
+impl Default for QuotaSettings {
+    /// Returns the values of section 2 of docs/design/limits-and-priorities.md.
+    fn default() -> Self {
+        Self { window_s: 5.0, overage: 0.1, slack: 20.0 }
+    }
+}
+
 /// Settings of the daemon.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Settings {
@@ -38,6 +56,9 @@
     pub store: SocketAddr,
     /// The fleet's retry budget for each service.
     pub retry_budget: RetryBudgetSettings,
+    /// The allowed error of quotas, the default one if the deployment states none.
+    #[serde(default)]
+    pub quota: Option<QuotaSettings>,
     /// Maximum rate of probes of one target by the whole fleet, in probes per second.
     pub probes_per_s: f64,
     /// Time within which a target must respond to a probe, connecting included, in seconds; 0.01 to
@@ -100,6 +121,19 @@
             "retry_budget.window_s is {}, must lie in 0.1 to 600",
             budget.window_s
         );
+        if let Some(quota) = settings.quota {
+            ensure!(
+                (1.0..=600.0).contains(&quota.window_s),
+                "quota.window_s is {}, must lie in 1 to 600",
+                quota.window_s
+            );
+            ensure!(
+                quota.overage >= 0.0,
+                "quota.overage is {}, must not be negative",
+                quota.overage
+            );
+            ensure!(quota.slack >= 0.0, "quota.slack is {}, must not be negative", quota.slack);
+        }
         ensure!(
             settings.probes_per_s > 0.0,
             "probes_per_s is {}, must be above 0",
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::dialect::TargetWish;
 use crate::events::event;
 use crate::metrics::Metrics;
+use crate::quotas::Quotas;
 use crate::settings::Settings;
 use crate::suspects::Suspects;
 
@@ -44,6 +45,8 @@
     pub(crate) clock: Clock,
     /// The current view of the fleet, published by the control thread.
     pub(crate) view: ArcSwap<View>,
+    /// Quotas of organisations.
+    pub(crate) quotas: Quotas,
     /// Metrics.
     pub(crate) metrics: Metrics,
     /// Idle connections to targets.
@@ -149,6 +152,8 @@
                 true
             }
             Hint::Leaving(departure) => self.leaving.note(now, departure),
+            // Notices concern `Quotas`, and only those of the source are taken.
+            Hint::Quota(_) => false,
         }
     }
 
@@ -217,6 +222,7 @@
         hints: mpsc::Sender<Hint>,
     ) -> Result<Arc<Self>, prometheus::Error> {
         Ok(Arc::new(Self {
+            quotas: Quotas::new(settings.quota.unwrap_or_default()),
             settings,
             clock: Clock::start(),
             view: ArcSwap::from_pointee(View::default()),
--- a/ibiscroft-edge/src/status_server.rs
+++ b/ibiscroft-edge/src/status_server.rs
@@ -47,6 +47,7 @@
             "revision": view.revision(),
             "configuration_version": view.configuration_version(),
             "zones_out": view.zones_out().collect::<Vec<_>>(),
+            "quotas": self.shared.quotas.dump(&self.shared),
             "targets": view.targets().collect::<Vec<_>>(),
             "gateways": View::members(&view).collect::<Vec<_>>(),
         });
