--- a/ibiscroft-core/src/fleet.rs
+++ b/ibiscroft-core/src/fleet.rs
@@ -19,6 +19,7 @@
 mod priority;
 mod probe;
 mod probe_budget;
+mod quota;
 mod relay;
 mod resting_targets;
 mod retry_after;
@@ -47,6 +48,10 @@
 pub use priority::{Rank, RecentRanks, Standing};
 pub use probe::{MAX_PROBE_ROUNDS, ProbeDecision, ProbeReport, ProbeSelection};
 pub use probe_budget::ProbeBudget;
+pub use quota::{
+    Demand, LimitedOrganisation, QuotaDecision, QuotaGate, QuotaLedger, QuotaNotice, QuotaReport,
+    QuotaStatus, QuotaTolerance,
+};
 pub use relay::Relay;
 pub use resting_targets::{MAX_REST, RestingTargets};
 pub use retry_after::{ExpectedCapacity, retry_after_rest};
--- a/ibiscroft-core/tests/it/fleet.rs
+++ b/ibiscroft-core/tests/it/fleet.rs
@@ -9,6 +9,7 @@
 mod organisations;
 mod priority;
 mod probing;
+mod quota;
 mod refusals;
 mod resting;
 mod routes;
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -22,6 +22,7 @@
 use crate::events::event;
 use crate::exchange::Exchange;
 use crate::metrics::Metrics;
+use crate::quotas::Quotas;
 use crate::settings::Settings;
 use crate::suspects::Suspects;
 
@@ -48,6 +49,8 @@
     pub(crate) clock: Clock,
     /// The current view of the fleet, published by the control thread.
     pub(crate) view: ArcSwap<View>,
+    /// Quotas of organisations.
+    pub(crate) quotas: Quotas,
     /// Metrics.
     pub(crate) metrics: Metrics,
     /// Idle connections to targets.
@@ -157,6 +160,8 @@
                 true
             }
             Hint::Leaving(departure) => self.leaving.note(now, departure),
+            // Notices concern `Quotas`, and only those of the source are taken.
+            Hint::Quota(_) => false,
         }
     }
 
@@ -226,6 +231,7 @@
     ) -> Result<Arc<Self>, prometheus::Error> {
         Ok(Arc::new(Self {
             reuses_connections: settings.has_feature(POOL_FEATURE),
+            quotas: Quotas::new(settings.quota.unwrap_or_default()),
             settings,
             clock: Clock::start(),
             view: ArcSwap::from_pointee(View::default()),
