--- a/ibiscroft-core/tests/it/fleet/quota.rs
+++ b/ibiscroft-core/tests/it/fleet/quota.rs
@@ -35,6 +35,13 @@
     }
 }
 
+/// Makes callers of the organisations in `SIZES` use all gateways.
+fn spread(emulator: &mut Emulator) {
+    for organisation in SIZES {
+        emulator.organisations[organisation].gateways = (0..GATEWAYS).collect();
+    }
+}
+
 fn surge(emulator: &mut Emulator, factor: f64) {
     multiply_demand(emulator, factor);
     emulator.run(10_000);
@@ -56,7 +63,7 @@
     emulator.run(6_000);
 }
 
-const CASES: [Case; 19] = [
+const CASES: [Case; 22] = [
     Case { name: "usual demand", play: |e| e.run(15_000), max_lost: 0.001 },
     Case { name: "3 times the usual demand", play: |e| surge(e, 3.0), max_lost: 0.015 },
     Case { name: "5 times", play: |e| surge(e, 5.0), max_lost: 0.005 },
@@ -83,6 +90,34 @@
         },
         max_lost: 0.005,
     },
+    Case {
+        name: "7.5 times, spread over all gateways",
+        play: |e| {
+            spread(e);
+            surge(e, 7.5);
+        },
+        max_lost: 0.005,
+    },
+    Case {
+        name: "30 times, spread over all gateways",
+        play: |e| {
+            spread(e);
+            surge(e, 30.0);
+        },
+        max_lost: 0.01,
+    },
+    Case {
+        name: "30 times, in pulses of 400 ms each 4 s",
+        play: |e| {
+            for _ in 0..4 {
+                multiply_demand(e, 30.0);
+                e.run(400);
+                multiply_demand(e, 0.0);
+                e.run(3_600);
+            }
+        },
+        max_lost: 0.01,
+    },
     Case {
         name: "limit lowered to a fifth",
         play: |e| {
