feat: quotas admit what a window may hold, and a root stays until the next one is in charge

One zone got no notice from 6.9 to 10.3 s: the root had selected a source that was cut off itself, and gave up its ledger for it.

Change: the bucket is filled with rate + burst / window, and the admitted requests of the last window are kept within rate x window + burst plus a third of the allowed error. A root that selects a source goes on as root until the first notice of that source.

--- a/ibiscroft-core/src/fleet/quota.rs
+++ b/ibiscroft-core/src/fleet/quota.rs
@@ -14,6 +14,8 @@
 
 use std::time::Duration;
 
+use super::organisation::Quota;
+
 pub use gate::{QuotaDecision, QuotaGate, QuotaStatus};
 pub use ledger::QuotaLedger;
 pub use report::{Demand, LimitedOrganisation, QuotaNotice, QuotaReport};
@@ -28,6 +30,11 @@
 /// The allowed error of quotas.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaTolerance {
+    /// Length of the windows in which requests are bounded; above 0.
+    pub window: Duration,
+    /// Requests of an organisation in any window that are allowed beyond its quota, as a fraction
+    /// of it.
+    pub overage: f64,
     /// Requests of an organisation in any window that are allowed beyond its quota.
     pub slack: f64,
 }
@@ -39,6 +46,24 @@
         self.slack / 2.0
     }
 
+    /// Returns the requests that an organisation may make in any window according to its quota.
+    fn window_quota(self, quota: Quota) -> f64 {
+        quota.rate * self.window.as_secs_f64() + quota.burst
+    }
+
+    /// Returns the requests in a window from which the root admits no more than leave the window.
+    ///
+    /// It uses a third of the allowed error; the rest covers the delay of reports.
+    fn window_limit(self, quota: Quota) -> f64 {
+        let requests = self.window_quota(quota);
+        requests + (requests * self.overage + self.slack) / 3.0
+    }
+
+    /// Returns the requests per second that an organisation may make all the time.
+    fn sustained_rate(self, quota: Quota) -> f64 {
+        self.window_quota(quota) / self.window.as_secs_f64()
+    }
+
     /// Returns the requests beyond the burst that the unused shares of gateways out of contact add
     /// up to; the rest covers the random differences between them.
     fn share_slack(self) -> f64 {
--- a/ibiscroft-core/src/fleet/quota/ledger.rs
+++ b/ibiscroft-core/src/fleet/quota/ledger.rs
@@ -1,6 +1,6 @@
 //! Token buckets of the gateway that reads the store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use super::report::{LimitedOrganisation, QuotaNotice, QuotaReport};
 use super::{CONTACT_TIMEOUT, INTERVAL, MIN_INTERVAL, QuotaTolerance};
@@ -19,6 +19,8 @@
 /// Time in which the tokens of a bucket are offered, in seconds. An organisation that suddenly sends
 /// several times its rate can thus use its burst before requests are rejected.
 const BURST_TIME_S: f64 = 0.5;
+/// Time over which the requests that are left in a window are spread, in seconds.
+const WINDOW_TIME_S: f64 = 0.5;
 /// Ratio of a fraction to the one sent last below which a notice is sent early.
 const URGENT_RATIO: f64 = 0.8;
 /// Time for which a debt is kept at most, in seconds; a wrong report thus blocks an organisation
@@ -39,17 +41,39 @@
     slow: f64,
     /// Fraction in the last notice.
     sent: f64,
+    /// Requests that were admitted in the last window, earliest first.
+    admitted: VecDeque<(Tick, f64)>,
+    /// Since when admitted requests are known; another root may have admitted some before.
+    known_since: Tick,
 }
 
 impl Bucket {
-    fn new(quota: Quota) -> Self {
-        Self { quota, level: 0.0, fast: 0.0, slow: 0.0, sent: 1.0 }
+    fn new(now: Tick, quota: Quota) -> Self {
+        let admitted = VecDeque::new();
+        Self { quota, level: 0.0, fast: 0.0, slow: 0.0, sent: 1.0, admitted, known_since: now }
+    }
+
+    /// Returns the part of the last window for which admitted requests are known, in 0..=1.
+    fn known_part(&self, now: Tick, tolerance: QuotaTolerance) -> f64 {
+        now.since(self.known_since).div_duration_f64(tolerance.window).min(1.0)
+    }
+
+    /// Returns the rate at which tokens are earned. It rises over the first window, as a
+    /// predecessor may have admitted more than the rate before.
+    fn earned_rate(&self, now: Tick, share: f64, tolerance: QuotaTolerance) -> f64 {
+        let rate = self.quota.rate;
+        let extra = tolerance.sustained_rate(self.quota) - rate;
+        (rate + extra * self.known_part(now, tolerance)) * share
     }
 
     /// Earns tokens for `elapsed` seconds, at the given share of the quota.
-    fn advance(&mut self, elapsed: f64, share: f64, slack: f64) {
-        let depth = (self.quota.burst + slack) * share;
-        self.level = (self.level + self.quota.rate * share * elapsed).min(depth);
+    fn advance(&mut self, now: Tick, elapsed: f64, share: f64, tolerance: QuotaTolerance) {
+        let depth = (self.quota.burst + tolerance.bucket_slack()) * share;
+        let earned = self.earned_rate(now, share, tolerance) * elapsed;
+        self.level = (self.level + earned).min(depth);
+        while self.admitted.front().is_some_and(|(at, _)| now.since(*at) >= tolerance.window) {
+            self.admitted.pop_front();
+        }
         self.fast *= (-elapsed / FAST_AVERAGE_S).exp();
         self.slow *= (-elapsed / SLOW_AVERAGE_S).exp();
     }
@@ -61,14 +85,41 @@
         self.slow = (self.slow + offered).min(max);
     }
 
+    /// Adds admitted requests.
+    fn note_admitted(&mut self, now: Tick, admitted: f64) {
+        self.level = (self.level - admitted).max(-self.quota.rate * MAX_DEBT_S);
+        if admitted > 0.0 {
+            self.admitted.push_back((now, admitted));
+        }
+    }
+
     /// Returns the fraction of requests to admit.
-    fn fraction(&self, share: f64) -> f64 {
+    fn fraction(&self, now: Tick, share: f64, tolerance: QuotaTolerance) -> f64 {
         let offered = (self.fast / FAST_AVERAGE_S).max(self.slow / SLOW_AVERAGE_S);
         let time = if self.level < 0.0 { DEBT_TIME_S } else { BURST_TIME_S };
-        let permitted = (self.quota.rate * share + self.level / time).max(0.0);
+        let earned = self.earned_rate(now, share, tolerance) + self.level / time;
+        let permitted = earned.min(self.left_in_window(now, share, tolerance)).max(0.0);
         if permitted >= offered { 1.0 } else { permitted / offered }
     }
 
+    /// Returns the rate at which the limit of the present window is reached in `WINDOW_TIME_S`.
+    ///
+    /// The bucket alone would admit the whole burst and a burst spread over the window in the same
+    /// window.
+    fn left_in_window(&self, now: Tick, share: f64, tolerance: QuotaTolerance) -> f64 {
+        let used: f64 = self.admitted.iter().map(|(_, count)| count).sum();
+        let leaving = self.admitted.iter().take_while(|(at, _)| {
+            now.since(*at).as_secs_f64() > tolerance.window.as_secs_f64() - WINDOW_TIME_S
+        });
+        let leaving: f64 = leaving.map(|(_, count)| count).sum();
+        // Before this root, the quota is taken to have been used up.
+        let unknown = tolerance.window_quota(self.quota) * share;
+        let unknown_used = unknown * (1.0 - self.known_part(now, tolerance));
+        let unknown_leaving = unknown * WINDOW_TIME_S / tolerance.window.as_secs_f64();
+        let leaving = leaving + unknown_leaving.min(unknown_used);
+        (tolerance.window_limit(self.quota) * share - used - unknown_used + leaving) / WINDOW_TIME_S
+    }
+
     /// Returns the time until a token is expected, in seconds.
     fn wait_s(&self, share: f64) -> f64 {
         (-self.level).max(1.0) / (self.quota.rate * share)
@@ -102,14 +153,14 @@
     }
 
     /// Takes over the limits of a configuration; the next notice is sent early.
-    pub fn configure(&mut self, organisations: Option<&Organisations>) {
+    pub fn configure(&mut self, now: Tick, organisations: Option<&Organisations>) {
         let quotas: BTreeMap<_, _> =
             organisations.into_iter().flat_map(Organisations::quotas).collect();
         self.buckets.retain(|name, _| quotas.contains_key(name));
         for (name, quota) in quotas {
             match self.buckets.get_mut(name) {
                 Some(bucket) => bucket.quota = quota,
-                None => drop(self.buckets.insert(name.clone(), Bucket::new(quota))),
+                None => drop(self.buckets.insert(name.clone(), Bucket::new(now, quota))),
             }
         }
         self.is_urgent = true;
@@ -125,16 +176,15 @@
         self.updated_at = Some(now);
         let fleet = f64::from(fleet.get().max(1));
         self.share = (f64::from(report.gateways.get()) / fleet).min(1.0);
-        let slack = self.tolerance.bucket_slack();
         match elapsed {
             Some(elapsed) if elapsed <= CONTACT_TIMEOUT => {
                 for bucket in self.buckets.values_mut() {
-                    bucket.advance(elapsed.as_secs_f64(), self.share, slack);
+                    bucket.advance(now, elapsed.as_secs_f64(), self.share, self.tolerance);
                 }
             }
             _ => {
                 for bucket in self.buckets.values_mut() {
-                    *bucket = Bucket::new(bucket.quota);
+                    *bucket = Bucket::new(now, bucket.quota);
                 }
             }
         }
@@ -142,10 +192,10 @@
             let Some(bucket) = self.buckets.get_mut(organisation) else {
                 continue;
             };
-            let max_debt = bucket.quota.rate * MAX_DEBT_S;
-            bucket.level = (bucket.level - f64::from(demand.admitted)).max(-max_debt);
+            bucket.note_admitted(now, f64::from(demand.admitted));
             bucket.note_offered(f64::from(demand.offered));
-            self.is_urgent |= bucket.fraction(self.share) < bucket.sent * URGENT_RATIO;
+            let fraction = bucket.fraction(now, self.share, self.tolerance);
+            self.is_urgent |= fraction < bucket.sent * URGENT_RATIO;
         }
     }
 
@@ -160,7 +210,7 @@
         self.is_urgent = false;
         let mut notice = QuotaNotice::default();
         for (organisation, bucket) in &mut self.buckets {
-            bucket.sent = bucket.fraction(self.share);
+            bucket.sent = bucket.fraction(now, self.share, self.tolerance);
             if bucket.sent < 1.0 {
                 let wait_s = bucket.wait_s(self.share);
                 let name = organisation.clone();
--- a/ibiscroft-core/tests/it/fleet/quota/emulator.rs
+++ b/ibiscroft-core/tests/it/fleet/quota/emulator.rs
@@ -137,7 +137,11 @@
     }
 
     fn new_gateway(&mut self) -> Gateway {
-        let tolerance = QuotaTolerance { slack: SLACK };
+        let tolerance = QuotaTolerance {
+            window: std::time::Duration::from_secs(5),
+            overage: 0.1,
+            slack: SLACK,
+        };
         let mut gate = QuotaGate::new(tolerance);
         gate.configure(Some(&self.configuration));
         Gateway {
@@ -161,7 +165,7 @@
         }
         for gateway in &mut self.gateways {
             gateway.gate.configure(Some(&self.configuration));
-            gateway.ledger.configure(Some(&self.configuration));
+            gateway.ledger.configure(at(self.now_ms), Some(&self.configuration));
         }
     }
 
--- a/ibiscroft-core/tests/it/fleet/quota/emulator/network.rs
+++ b/ibiscroft-core/tests/it/fleet/quota/emulator/network.rs
@@ -39,8 +39,12 @@
                     self.gateways[previous].gate.forget_follower(address(index));
                 }
                 if source.is_none() {
-                    let mut ledger = QuotaLedger::new(QuotaTolerance { slack: SLACK });
-                    ledger.configure(Some(&self.configuration));
+                    let mut ledger = QuotaLedger::new(QuotaTolerance {
+                        window: std::time::Duration::from_secs(5),
+                        overage: 0.1,
+                        slack: SLACK,
+                    });
+                    ledger.configure(at(self.now_ms), Some(&self.configuration));
                     self.gateways[index].ledger = ledger;
                 }
             }
--- a/ibiscroft-core/tests/it/fleet/quota/gate.rs
+++ b/ibiscroft-core/tests/it/fleet/quota/gate.rs
@@ -10,7 +10,8 @@
 
 use crate::support::{at, ms};
 
-const TOLERANCE: QuotaTolerance = QuotaTolerance { slack: 20.0 };
+const TOLERANCE: QuotaTolerance =
+    QuotaTolerance { window: std::time::Duration::from_secs(5), overage: 0.1, slack: 20.0 };
 const FLEET: GatewayCount = GatewayCount(136);
 
 fn name() -> OrganisationName {
@@ -46,7 +47,7 @@
     gate.configure(Some(&Organisations::default()));
     gate.configure(None);
     let mut ledger = QuotaLedger::new(TOLERANCE);
-    ledger.configure(None);
+    ledger.configure(at(0), None);
     for second in 0..10 {
         let now = at(second * 1_000);
         assert_eq!(gate.admit(now, &name(), FLEET, 0.5), QuotaDecision::Unlimited);
@@ -122,7 +123,7 @@
     };
     let mut gate = gate();
     let mut ledger = QuotaLedger::new(TOLERANCE);
-    ledger.configure(Some(&organisations(2.0, 2.0)));
+    ledger.configure(at(0), Some(&organisations(2.0, 2.0)));
     for port in 1..4 {
         gate.on_report(at(0), follower(port), &odd);
     }
@@ -169,7 +170,7 @@
 #[test]
 fn a_pause_ends_contact_and_empties_the_buckets() {
     let mut ledger = QuotaLedger::new(TOLERANCE);
-    ledger.configure(Some(&organisations(100.0, 100.0)));
+    ledger.configure(at(0), Some(&organisations(100.0, 100.0)));
     let report = |offered| QuotaReport {
         gateways: FLEET,
         demands: vec![(name(), Demand { offered, admitted: 0 })],
--- a/ibiscroft-edge/src/quotas.rs
+++ b/ibiscroft-edge/src/quotas.rs
@@ -27,18 +27,25 @@
     gate: Mutex<QuotaGate>,
     /// Whether this gateway reads the store and thus keeps the ledger.
     is_root: AtomicBool,
+    /// Whether a notice of the source has arrived since this gateway last read the store.
+    has_source_notice: AtomicBool,
 }
 
 /// Converts the settings to the tolerance of the core.
-const fn tolerance(settings: QuotaSettings) -> QuotaTolerance {
-    QuotaTolerance { slack: settings.slack }
+fn tolerance(settings: QuotaSettings) -> QuotaTolerance {
+    QuotaTolerance {
+        window: Duration::from_secs_f64(settings.window_s),
+        overage: settings.overage,
+        slack: settings.slack,
+    }
 }
 
 impl Quotas {
     /// Creates the state without limits.
     pub(crate) fn new(settings: QuotaSettings) -> Self {
         let gate = Mutex::new(QuotaGate::new(tolerance(settings)));
-        Self { settings, gate, is_root: AtomicBool::new(false) }
+        let has_source_notice = AtomicBool::new(false);
+        Self { settings, gate, is_root: AtomicBool::new(false), has_source_notice }
     }
 
     /// Locks the gate; the guard must not be held across an await.
@@ -92,6 +99,7 @@
 
     /// Takes over a notice of the source.
     pub(crate) fn on_notice(&self, shared: &Shared, notice: &QuotaNotice) {
+        self.has_source_notice.store(true, Ordering::Relaxed);
         self.gate().on_notice(shared.clock.now(), notice);
     }
 
@@ -158,7 +166,14 @@
             return;
         }
         if quotas.is_root.load(Ordering::Relaxed) {
+            quotas.has_source_notice.store(false, Ordering::Relaxed);
             self.step_root();
+        } else if self.ledger.is_some() && !quotas.has_source_notice.load(Ordering::Relaxed) {
+            // The new source may be cut off itself. Until it is in charge, the followers of this
+            // gateway have no other root.
+            if let Some(report) = self.step_root() {
+                self.hub.send_to_source(FollowerMessage::Quota(report));
+            }
         } else {
             self.ledger = None;
             let report = quotas.gate().take_report(shared.clock.now());
@@ -179,7 +194,9 @@
         }
     }
 
-    fn step_root(&mut self) {
+    /// Adds the demand of this gateway and its followers to the ledger, and sends a notice if one is
+    /// due; returns the demand if a notice was sent.
+    fn step_root(&mut self) -> Option<QuotaReport> {
         let shared = &self.shared;
         let now = shared.clock.now();
         let view = shared.view.load();
@@ -190,14 +207,13 @@
         let version = view.configuration_version();
         if self.version != Some(version) {
             self.version = Some(version);
-            ledger.configure(view.configuration().and_then(|cfg| cfg.organisations.as_ref()));
+            ledger.configure(now, view.configuration().and_then(|cfg| cfg.organisations.as_ref()));
         }
         let report = shared.quotas.gate().take_demand(now);
         ledger.on_report(now, fleet(shared), &report);
-        if let Some(notice) = ledger.notice(now) {
-            shared.quotas.on_notice(shared, &notice);
-            let hints = vec![Hint::Quota(notice)];
-            self.hub.send_hints_to_followers(view.revision(), hints, now);
-        }
+        let notice = ledger.notice(now)?;
+        shared.quotas.gate().on_notice(now, &notice);
+        self.hub.send_hints_to_followers(view.revision(), vec![Hint::Quota(notice)], now);
+        Some(report)
     }
 }
