feat: requests wait for the first notice about quotas instead of being refused

A request whose share is used up waits for the next notice, 300 ms at most. The share of a gateway out of contact is that of rate + burst / window, as at the root; no case of the fleet test over the bound.

--- a/ibiscroft-core/src/fleet/quota.rs
+++ b/ibiscroft-core/src/fleet/quota.rs
@@ -53,10 +53,10 @@
 
     /// Returns the requests in a window from which the root admits no more than leave the window.
     ///
-    /// It uses a third of the allowed error; the rest covers the delay of reports.
+    /// It uses a sixth of the allowed error; the rest covers the delay of reports.
     fn window_limit(self, quota: Quota) -> f64 {
         let requests = self.window_quota(quota);
-        requests + (requests * self.overage + self.slack) / 3.0
+        requests + (requests * self.overage + self.slack) / 6.0
     }
 
     /// Returns the requests per second that an organisation may make all the time.
--- a/ibiscroft-core/src/fleet/quota/gate.rs
+++ b/ibiscroft-core/src/fleet/quota/gate.rs
@@ -134,9 +134,18 @@
     }
 
     /// Admits requests within this gateway's share.
-    fn admit_share(&mut self, now: Tick, slack: f64, gateways: f64, random: f64) -> QuotaDecision {
+    fn admit_share(
+        &mut self,
+        now: Tick,
+        tolerance: QuotaTolerance,
+        gateways: f64,
+        random: f64,
+    ) -> QuotaDecision {
+        let slack = tolerance.share_slack();
+        let sustained_rate = tolerance.sustained_rate(self.quota);
         let share = self.share.get_or_insert_with(|| Share::new(now, random));
-        if share.try_take(now, self.quota, slack, gateways) {
+        let quota = Quota { rate: sustained_rate, burst: self.quota.burst };
+        if share.try_take(now, quota, slack, gateways) {
             return QuotaDecision::Admitted;
         }
         unknown(random)
@@ -216,7 +225,7 @@
             Some(age) if age <= CONTACT_TIMEOUT => entry.admit_fraction(age, random),
             _ => {
                 let gateways = f64::from(gateways.get().max(1));
-                entry.admit_share(now, self.tolerance.share_slack(), gateways, random)
+                entry.admit_share(now, self.tolerance, gateways, random)
             }
         };
         let admitted = u32::from(decision == QuotaDecision::Admitted);
--- a/ibiscroft-edge/src/filters/quota.rs
+++ b/ibiscroft-edge/src/filters/quota.rs
@@ -1,14 +1,19 @@
 //! Refuses requests beyond the quota of their organisation.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use ibiscroft_core::fleet::QuotaDecision;
+use ibiscroft_core::ids::OrganisationName;
 
 use super::Handler;
 use crate::exchange::Exchange;
 use crate::reply::{Failure, FailureKind, Reply};
 use crate::shared::Shared;
 
+/// Time for which a request waits for a notice; a notice is due every 250 ms.
+const NOTICE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Filter that admits requests of organisations with a quota, each caller attempt once.
 #[derive(Debug)]
 pub(crate) struct LimitByQuota<H> {
@@ -21,6 +26,18 @@
     pub(crate) fn new(shared: Arc<Shared>, next: H) -> Self {
         Self { shared, next }
     }
+
+    /// Decides about a request; waits for the next notice if this gateway has none and its share is
+    /// used up, as shortly after a start.
+    async fn decide(&self, organisation: &OrganisationName) -> QuotaDecision {
+        let quotas = &self.shared.quotas;
+        let decision = quotas.admit(&self.shared, organisation);
+        let is_unknown = matches!(decision, QuotaDecision::Unknown { .. });
+        if is_unknown && quotas.wait_for_notice(NOTICE_TIMEOUT).await {
+            return quotas.admit(&self.shared, organisation);
+        }
+        decision
+    }
 }
 
 impl<H: Handler> Handler for LimitByQuota<H> {
@@ -28,7 +45,7 @@
         let Some(organisation) = &ex.organisation else {
             return self.next.handle(ex).await;
         };
-        match self.shared.quotas.admit(&self.shared, organisation) {
+        match self.decide(organisation).await {
             QuotaDecision::Unlimited => self.next.handle(ex).await,
             QuotaDecision::Admitted => {
                 let reply = self.next.handle(ex).await;
--- a/ibiscroft-edge/src/quotas.rs
+++ b/ibiscroft-edge/src/quotas.rs
@@ -11,6 +11,7 @@
 };
 use ibiscroft_core::ids::{Generation, OrganisationName};
 use serde_json::{Value, json};
+use tokio::sync::Notify;
 
 use crate::events::event;
 use crate::feed_hub::FeedHub;
@@ -29,6 +30,8 @@
     is_root: AtomicBool,
     /// Whether a notice of the source has arrived since this gateway last read the store.
     has_source_notice: AtomicBool,
+    /// Wakes the requests that wait for a notice.
+    noticed: Notify,
 }
 
 /// Converts the settings to the tolerance of the core.
@@ -45,7 +48,8 @@
     pub(crate) fn new(settings: QuotaSettings) -> Self {
         let gate = Mutex::new(QuotaGate::new(tolerance(settings)));
         let has_source_notice = AtomicBool::new(false);
-        Self { settings, gate, is_root: AtomicBool::new(false), has_source_notice }
+        let (is_root, noticed) = (AtomicBool::new(false), Notify::new());
+        Self { settings, gate, is_root, has_source_notice, noticed }
     }
 
     /// Locks the gate; the guard must not be held across an await.
@@ -101,6 +105,12 @@
     pub(crate) fn on_notice(&self, shared: &Shared, notice: &QuotaNotice) {
         self.has_source_notice.store(true, Ordering::Relaxed);
         self.gate().on_notice(shared.clock.now(), notice);
+        self.noticed.notify_waiters();
+    }
+
+    /// Waits for the next notice; returns whether it has arrived within `timeout`.
+    pub(crate) async fn wait_for_notice(&self, timeout: Duration) -> bool {
+        tokio::time::timeout(timeout, self.noticed.notified()).await.is_ok()
     }
 
     /// Returns the state of each organisation with a limit, for the dump.
@@ -213,6 +223,7 @@
         ledger.on_report(now, fleet(shared), &report);
         let notice = ledger.notice(now)?;
         shared.quotas.gate().on_notice(now, &notice);
+        shared.quotas.noticed.notify_waiters();
         self.hub.send_hints_to_followers(view.revision(), vec![Hint::Quota(notice)], now);
         Some(report)
     }
