feat: gateways out of contact go on by their own recent demand

Change: without contact a gateway admits at the rate of its last 8 s, somewhat more for organisations that use little of their quota, which notices tell; a request waits up to 1 s for a notice; a new root starts with a quarter of the slack.

No case of the fleet test over the bound.

--- a/ibiscroft-core/src/fleet/quota/gate.rs
+++ b/ibiscroft-core/src/fleet/quota/gate.rs
@@ -31,6 +31,13 @@
 /// Time over which the expected number of admitted requests is averaged.
 const EXPECTATION_TIME: Duration = Duration::from_secs(1);
 
+/// Time over which the admitted requests are averaged that a gateway goes on to admit without
+/// contact; long enough to see the callers of small organisations.
+const RECENT_TIME: Duration = Duration::from_secs(8);
+/// Growth of the admitted requests without contact, for organisations that use less than
+/// `BUSY_PART` of their quota.
+const IDLE_GROWTH: f64 = 1.4;
+
 /// Whether a request is admitted.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum QuotaDecision {
@@ -79,6 +86,11 @@
     since_notice: f64,
     /// Expected admitted requests per second.
     expected: f64,
+    /// Admitted requests, decaying with `RECENT_TIME`.
+    recent: f64,
+    recent_at: Tick,
+    /// Whether the root states that the organisation uses much of its quota.
+    is_busy: bool,
     offered: u64,
     admitted: u64,
 }
@@ -93,11 +105,33 @@
             share: None,
             since_notice: 0.0,
             expected: 0.0,
+            recent: 0.0,
+            recent_at: Tick::ZERO,
+            is_busy: false,
             offered: 0,
             admitted: 0,
         }
     }
 
+    /// Counts an admitted request.
+    fn note_admitted(&mut self, now: Tick) {
+        let elapsed = now.since(self.recent_at).as_secs_f64();
+        self.recent = self.recent * (-elapsed / RECENT_TIME.as_secs_f64()).exp() + 1.0;
+        self.recent_at = now;
+        self.admitted += 1;
+    }
+
+    /// Returns the requests per second that this gateway may go on to admit without contact.
+    ///
+    /// All gateways together admit no more than the quota then: what they admitted before, if the
+    /// organisation uses much of its quota, and otherwise `IDLE_GROWTH` of it.
+    fn own_rate(&self, now: Tick) -> f64 {
+        let elapsed = now.since(self.recent_at).as_secs_f64();
+        let recent = self.recent * (-elapsed / RECENT_TIME.as_secs_f64()).exp();
+        let growth = if self.is_busy { 1.0 } else { IDLE_GROWTH };
+        recent / RECENT_TIME.as_secs_f64() * growth
+    }
+
     /// Returns whether more requests than expected were admitted since the last notice, which is
     /// late. The contact with the root may then be lost, and the root unaware of the demand.
     fn is_unnoticed_rise(&self, notice_age: Duration) -> bool {
@@ -143,7 +177,10 @@
     ) -> QuotaDecision {
         let slack = tolerance.share_slack();
         let sustained_rate = tolerance.sustained_rate(self.quota);
-        let share = self.share.get_or_insert_with(|| Share::new(now, random));
+        let own_rate = self.own_rate(now);
+        let is_known = own_rate > sustained_rate / gateways;
+        let part = if is_known { 1.0 } else { random };
+        let share = self.share.get_or_insert_with(|| Share::new(now, part, own_rate));
         let quota = Quota { rate: sustained_rate, burst: self.quota.burst };
         if share.try_take(now, quota, slack, gateways) {
             return QuotaDecision::Admitted;
@@ -230,7 +267,9 @@
         };
         let admitted = u32::from(decision == QuotaDecision::Admitted);
         entry.offered += 1;
-        entry.admitted += u64::from(admitted);
+        if admitted > 0 {
+            entry.note_admitted(now);
+        }
         self.collector.add(organisation, Demand { offered: 1, admitted });
         decision
     }
@@ -281,10 +320,12 @@
         for entry in self.entries.values_mut() {
             entry.note_notice(elapsed);
             entry.fraction = 1.0;
+            entry.is_busy = false;
         }
         for limited in &notice.limited {
             if let Some(entry) = self.entries.get_mut(&limited.organisation) {
                 entry.fraction = limited.fraction();
+                entry.is_busy = true;
                 entry.wait = Duration::from_millis(limited.wait_ms.into());
             }
         }
--- a/ibiscroft-core/src/fleet/quota/ledger.rs
+++ b/ibiscroft-core/src/fleet/quota/ledger.rs
@@ -21,6 +21,10 @@
 const BURST_TIME_S: f64 = 0.5;
 /// Time over which the requests that are left in a window are spread, in seconds.
 const WINDOW_TIME_S: f64 = 0.5;
+/// Part of the quota from which gateways that lose contact must not admit more than before.
+const BUSY_PART: f64 = 0.7;
+/// Requests in a window, in multiples of the slack, below which a quota is small.
+const SMALL_QUOTA_SLACKS: f64 = 5.0;
 /// Ratio of a fraction to the one sent last below which a notice is sent early.
 const URGENT_RATIO: f64 = 0.8;
 /// Time for which a debt is kept at most, in seconds; a wrong report thus blocks an organisation
@@ -53,6 +57,13 @@
         Self { quota, level: 0.0, fast: 0.0, slow: 0.0, sent: 1.0, admitted, known_since: now }
     }
 
+    /// Sets the tokens of a new root: a part of the slack, but none of a burst that may have been
+    /// used up before. It covers the requests that callers of a small organisation have held back.
+    fn with_tokens(mut self, tokens: f64) -> Self {
+        self.level = tokens;
+        self
+    }
+
     /// Returns the part of the last window for which admitted requests are known, in 0..=1.
     fn known_part(&self, now: Tick, tolerance: QuotaTolerance) -> f64 {
         now.since(self.known_since).div_duration_f64(tolerance.window).min(1.0)
@@ -120,6 +131,16 @@
         (tolerance.window_limit(self.quota) * share - used - unknown_used + leaving) / WINDOW_TIME_S
     }
 
+    /// Returns whether the demand is a large part of the quota.
+    ///
+    /// The growth of a small organisation lies within the slack, and its demand varies so much that
+    /// most notices would name it.
+    fn is_busy(&self, share: f64, tolerance: QuotaTolerance) -> bool {
+        let is_small = tolerance.window_quota(self.quota) < SMALL_QUOTA_SLACKS * tolerance.slack;
+        !is_small
+            && self.slow / SLOW_AVERAGE_S > BUSY_PART * tolerance.sustained_rate(self.quota) * share
+    }
+
     /// Returns the time until a token is expected, in seconds.
     fn wait_s(&self, share: f64) -> f64 {
         (-self.level).max(1.0) / (self.quota.rate * share)
@@ -160,7 +181,10 @@
         for (name, quota) in quotas {
             match self.buckets.get_mut(name) {
                 Some(bucket) => bucket.quota = quota,
-                None => drop(self.buckets.insert(name.clone(), Bucket::new(now, quota))),
+                None => {
+                    let bucket = Bucket::new(now, quota).with_tokens(self.tolerance.share_slack());
+                    self.buckets.insert(name.clone(), bucket);
+                }
             }
         }
         self.is_urgent = true;
@@ -184,7 +208,8 @@
             }
             _ => {
                 for bucket in self.buckets.values_mut() {
-                    *bucket = Bucket::new(now, bucket.quota);
+                    let tokens = self.tolerance.share_slack();
+                    *bucket = Bucket::new(now, bucket.quota).with_tokens(tokens);
                 }
             }
         }
@@ -211,7 +236,7 @@
         let mut notice = QuotaNotice::default();
         for (organisation, bucket) in &mut self.buckets {
             bucket.sent = bucket.fraction(now, self.share, self.tolerance);
-            if bucket.sent < 1.0 {
+            if bucket.sent < 1.0 || bucket.is_busy(self.share, self.tolerance) {
                 let wait_s = bucket.wait_s(self.share);
                 let name = organisation.clone();
                 notice.limited.push(LimitedOrganisation::new(name, bucket.sent, wait_s));
--- a/ibiscroft-core/src/fleet/quota/share.rs
+++ b/ibiscroft-core/src/fleet/quota/share.rs
@@ -14,6 +14,8 @@
 pub(super) struct Share {
     /// Part of the next token, in 0..1.
     part: f64,
+    /// Tokens per second, if more than those of an equal division of the quota.
+    own_rate: f64,
     updated_at: Tick,
     /// When the unused tokens were earned, earliest first.
     tokens: VecDeque<Tick>,
@@ -22,13 +24,15 @@
 impl Share {
     /// Creates a share with the given part of a token; if the parts of gateways are evenly
     /// distributed in 0..1, the gateways together earn the quota from the start.
-    pub(super) fn new(now: Tick, part: f64) -> Self {
-        Self { part: part.clamp(0.0, 1.0), updated_at: now, tokens: VecDeque::new() }
+    ///
+    /// `own_rate` is the rate at which this gateway admitted requests while it was in contact.
+    pub(super) fn new(now: Tick, part: f64, own_rate: f64) -> Self {
+        Self { part: part.clamp(0.0, 1.0), own_rate, updated_at: now, tokens: VecDeque::new() }
     }
 
     /// Takes a token, if there is one; the quota is divided by `gateways`.
     pub(super) fn try_take(&mut self, now: Tick, quota: Quota, slack: f64, gateways: f64) -> bool {
-        let rate = quota.rate / gateways;
+        let rate = (quota.rate / gateways).max(self.own_rate);
         // A quota has a rate above 0.
         let validity = (quota.burst + slack).max(1.0) / quota.rate;
         let elapsed = now.since(self.updated_at).as_secs_f64();
--- a/ibiscroft-edge/src/filters/quota.rs
+++ b/ibiscroft-edge/src/filters/quota.rs
@@ -11,8 +11,11 @@
 use crate::reply::{Failure, FailureKind, Reply};
 use crate::shared::Shared;
 
-/// Time for which a request waits for a notice; a notice is due every 250 ms.
-const NOTICE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time for which a request waits for a notice; most gateways are in contact again within
+/// it after the gateway that reads the store has been replaced.
+const MAX_NOTICE_WAIT: Duration = Duration::from_secs(1);
+/// Part of the time left until the deadline for which a request waits for a notice.
+const NOTICE_WAIT_PART: u32 = 3;
 
 /// Filter that admits requests of organisations with a quota, each caller attempt once.
 #[derive(Debug)]
@@ -29,11 +32,13 @@
 
     /// Decides about a request; waits for the next notice if this gateway has none and its share is
     /// used up, as shortly after a start.
-    async fn decide(&self, organisation: &OrganisationName) -> QuotaDecision {
+    async fn decide(&self, ex: &Exchange, organisation: &OrganisationName) -> QuotaDecision {
+        let left = ex.deadline.since(self.shared.clock.now());
+        let wait = MAX_NOTICE_WAIT.min(left / NOTICE_WAIT_PART);
         let quotas = &self.shared.quotas;
         let decision = quotas.admit(&self.shared, organisation);
         let is_unknown = matches!(decision, QuotaDecision::Unknown { .. });
-        if is_unknown && quotas.wait_for_notice(NOTICE_TIMEOUT).await {
+        if is_unknown && quotas.wait_for_notice(wait).await {
             return quotas.admit(&self.shared, organisation);
         }
         decision
@@ -45,7 +50,7 @@
         let Some(organisation) = &ex.organisation else {
             return self.next.handle(ex).await;
         };
-        match self.decide(organisation).await {
+        match self.decide(ex, organisation).await {
             QuotaDecision::Unlimited => self.next.handle(ex).await,
             QuotaDecision::Admitted => {
                 let reply = self.next.handle(ex).await;
