feat: core finds what is wrong with a configuration, alone and against the one in force

Cause: an operator learns only from the log of a daemon, after the write, that a route or an organisation was left out, and not at all that an entry has no effect or that an organisation loses its access.

Change: fleet::configuration_check with check (entries without effect, settings that contradict each other) and compare (routes, services, limits, keys by count, quotas, version). Sans-IO, on decoded types. Organisations lists its policies and key digests for it. The hidden routes of the test are those that Configuration::route never returns.

--- a/ibiscroft-core/src/fleet.rs
+++ b/ibiscroft-core/src/fleet.rs
@@ -9,6 +9,7 @@
 mod change;
 mod cold_target_limiter;
 mod configuration;
+pub mod configuration_check;
 mod connection_reuse;
 mod fleet_size;
 mod health;
--- a/ibiscroft-core/src/fleet/organisation.rs
+++ b/ibiscroft-core/src/fleet/organisation.rs
@@ -102,6 +102,16 @@
         self.policies.get(name)
     }
 
+    /// Returns the organisations and what applies to their requests, in the order of their names.
+    pub fn policies(&self) -> impl Iterator<Item = (&OrganisationName, &OrganisationPolicy)> {
+        self.policies.iter()
+    }
+
+    /// Returns the digests of all keys and the organisations that have them.
+    pub fn keys(&self) -> impl Iterator<Item = (KeyDigest, &OrganisationName)> {
+        self.keys.iter().map(|(key, holder)| (*key, holder))
+    }
+
     /// Returns the organisations with a limit on their requests.
     pub fn quotas(&self) -> impl Iterator<Item = (&OrganisationName, Quota)> {
         self.policies.iter().filter_map(|(name, policy)| Some((name, policy.quota?)))
--- a/ibiscroft-core/tests/it/fleet.rs
+++ b/ibiscroft-core/tests/it/fleet.rs
@@ -1,6 +1,7 @@
 //! Tests of `fleet`.
 
 mod budgets;
+mod configuration_check;
 mod connection_reuse;
 mod feed;
 mod herds;
