feat(core,edge): positions of the store are an era and a revision

Cause: after a restore from an older copy the store's revision is lower than that of the views, or is given out again.

Ruled out: the era in the upper bits of the revision (a smaller change, but it limits both numbers and hides the comparison); the era beside each of the two revisions of an update (both belong to one era always); a check of the era in the store client (a follower compares the same way and has no client).

Change: `Position { era, revision }`, compared in this order, replaces the revision in View, UpdateHistory, FeedHub, the reader of the store and the handshake between gateways. An update has one era for its two revisions; it is left out in the first era, so that its encoding is as before. A response of a later era to a watch is followed by a listing. Only a full update leads a view to a later era. It begins a grace period for targets and gateways that the copy lacks, keeps lost evacuations for 30 s, and forgets a lost number of gateways so that it is written again. Later registrations and configurations stay, and a target whose registration ended is not taken from a listing of a later era unless it shows a later registration. A gateway registers itself again with a new lease in each era.

The end of a target's lapse now counts as a change, as followers may have lapsed the target as well and would remove it at the end of their grace period.

--- a/ibiscroft-core/src/fleet.rs
+++ b/ibiscroft-core/src/fleet.rs
@@ -9,6 +9,7 @@
 mod change;
 mod cold_target_limiter;
 mod configuration;
+mod departed_targets;
 mod fleet_size;
 mod health;
 mod hint;
@@ -32,7 +33,7 @@
 mod update_history;
 mod view;
 
-pub use change::{Change, Revision, Update};
+pub use change::{Change, Era, Position, Revision, Update};
 pub use cold_target_limiter::{ColdTargetLimiter, ColdTargetQuota};
 pub use configuration::{CallerLimits, Configuration, ServicePolicy};
 pub use fleet_size::{FleetSize, FleetSizeDebounce};
--- /dev/null
+++ b/ibiscroft-core/src/fleet/departed_targets.rs
@@ -0,0 +1,58 @@
+//! Targets whose registration has ended, in case the store returns from an older copy.
+
+use std::collections::BTreeMap;
+
+use super::change::Era;
+use super::target::{Incarnation, Target};
+use crate::Tick;
+use crate::ids::TargetName;
+
+/// Maximum number of targets kept; above the number of targets in the largest fleet.
+const MAX_TARGETS: usize = 1_024;
+
+/// Last registration of a target before it ended.
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    era: Era,
+    incarnation: Incarnation,
+    sequence: u64,
+    ended_at: Tick,
+}
+
+/// Targets whose registration has ended, with the last one known of each.
+///
+/// Within an era the store's word on a target is always the latest. A copy from which the store
+/// returns may list a registration that had already ended; such a target may have left for good.
+#[derive(Clone, Debug, Default)]
+pub(super) struct DepartedTargets {
+    entries: BTreeMap<TargetName, Entry>,
+}
+
+impl DepartedTargets {
+    /// Records that the registration of `target` ended in `era`. Forgets the target whose
+    /// registration ended first if there are too many.
+    pub(super) fn note(&mut self, now: Tick, era: Era, target: &Target) {
+        let Target { name, incarnation, sequence, .. } = target;
+        let entry = Entry { era, incarnation: *incarnation, sequence: *sequence, ended_at: now };
+        self.entries.insert(name.clone(), entry);
+        if self.entries.len() > MAX_TARGETS {
+            let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.ended_at);
+            if let Some(name) = oldest.map(|(name, _)| name.clone()) {
+                self.entries.remove(&name);
+            }
+        }
+    }
+
+    /// Forgets a target that is registered again.
+    pub(super) fn remove(&mut self, name: &TargetName) {
+        self.entries.remove(name);
+    }
+
+    /// Returns whether a registration in a listing of `era` may be one that ended in an earlier era.
+    pub(super) fn is_outdated_listing(&self, era: Era, target: &Target) -> bool {
+        self.entries.get(&target.name).is_some_and(|entry| {
+            let ended = (entry.incarnation, entry.sequence);
+            entry.era < era && (target.incarnation, target.sequence) <= ended
+        })
+    }
+}
--- a/ibiscroft-core/src/fleet/view.rs
+++ b/ibiscroft-core/src/fleet/view.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::change::{Change, Revision, Update};
+use super::change::{Change, Position, Revision, Update};
 use super::configuration::Configuration;
+use super::departed_targets::DepartedTargets;
 use super::target::{GatewayCount, Member, Target, TargetState};
 use crate::Tick;
 use crate::ids::{Generation, InstanceName, ServiceName, TargetName, ZoneName};
@@ -12,6 +13,9 @@
 /// Grace period after an outage of the store. Registrations may lapse during the outage; according
 /// to the platform's description of the store, running targets renew them within this time.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
+/// Time for which an evacuation that the store lost stays in force, for operators to write it again.
+/// It ends by itself because the removal of a key that the store does not have may go unnoticed.
+const LOST_EVACUATION_RETENTION: Duration = Duration::from_secs(30);
 
 /// Configuration, evacuated zones, targets and gateways as known to one gateway.
 #[derive(Clone, Debug, Default)]
@@ -21,45 +25,68 @@
     targets: BTreeMap<TargetName, Target>,
     members: BTreeMap<InstanceName, Member>,
     gateways: Option<GatewayCount>,
-    revision: Revision,
+    position: Position,
     /// Targets whose registration may have lapsed only because of the outage; kept until the grace
     /// period ends.
     lapsed: BTreeSet<TargetName>,
     /// End of the grace period after the last outage of the store.
     grace_until: Tick,
+    /// Gateways whose registration the store lost with the change of its era; kept until
+    /// `lapsed_members_until`.
+    lapsed_members: BTreeSet<InstanceName>,
+    lapsed_members_until: Tick,
+    /// Evacuated zones that the store lost with the change of its era; evacuated until
+    /// `lost_evacuations_until`.
+    lost_evacuations: BTreeSet<ZoneName>,
+    lost_evacuations_until: Tick,
+    departed: DepartedTargets,
 }
 
 impl View {
     /// Applies an update; returns the changes that had an effect.
     ///
-    /// A configuration is never replaced by an older one, and an update to an older revision than
+    /// A configuration is never replaced by an older one, and an update to an older position than
     /// the view's has no effect.
+    ///
+    /// In a new era, the store has returned from an older copy. Only a full update leads to it: the
+    /// changes of a new era say nothing about what the store lost. Registrations that the copy does
+    /// not hold are kept for a grace period. What this view has seen of a target stays as seen if
+    /// the copy is older: a later registration is kept, and one that ended is not taken from the
+    /// copy.
     pub fn apply(&mut self, now: Tick, update: Update) -> Vec<Change> {
-        if update.revision < self.revision {
+        let begins_era = update.era > self.position.era;
+        if update.position() < self.position || (begins_era && !update.is_full) {
             return Vec::new();
         }
-        let is_first = self.revision == Revision(0);
-        self.revision = update.revision;
+        let is_first = !self.position.is_known();
+        self.position = update.position();
         let mut applied = Vec::new();
         if is_first && update.is_full {
             self.clear_entries();
         }
+        if begins_era && !is_first {
+            self.begin_era(now, &update.changes);
+        }
         if update.is_full {
             for change in self.implied_removals(&update.changes) {
                 self.apply_one(now, change, &mut applied);
             }
         }
         for change in update.changes {
+            if update.is_full && self.is_outdated_listing(&change) {
+                continue;
+            }
             self.apply_one(now, change, &mut applied);
         }
         applied
     }
 
     /// Returns whether the update can be applied without missing changes between the view's
-    /// revision and the update.
+    /// position and the update.
     #[must_use]
     pub fn is_contiguous_with(&self, update: &Update) -> bool {
-        update.is_full || update.since <= self.revision
+        let has_hints_only = !update.hints.is_empty();
+        update.is_full || has_hints_only || update.since_position() <= self.position
     }
 
     /// Starts the grace period: the store responds again after an outage.
@@ -67,22 +94,33 @@
         self.grace_until = now + LAPSE_GRACE;
     }
 
-    /// Removes lapsed targets if the grace period has ended; returns the resulting changes.
+    /// Removes lapsed targets and gateways and lost evacuations whose time has ended; returns the
+    /// resulting changes.
     pub fn expire(&mut self, now: Tick) -> Vec<Change> {
-        if now < self.grace_until {
-            return Vec::new();
-        }
         let mut applied = Vec::new();
-        for name in std::mem::take(&mut self.lapsed) {
-            self.targets.remove(&name);
-            applied.push(Change::TargetGone(name));
+        if now >= self.grace_until {
+            for name in std::mem::take(&mut self.lapsed) {
+                self.targets.remove(&name);
+                applied.push(Change::TargetGone(name));
+            }
+        }
+        if now >= self.lapsed_members_until {
+            for name in std::mem::take(&mut self.lapsed_members) {
+                self.members.remove(&name);
+                applied.push(Change::MemberGone(name));
+            }
+        }
+        if now >= self.lost_evacuations_until {
+            let zones = std::mem::take(&mut self.lost_evacuations);
+            applied.extend(zones.into_iter().map(Change::ZoneIn));
         }
         applied
     }
 
     /// Returns a full update with the whole state, for a gateway that has none.
     ///
-    /// `age` is the time since the store was last known to be at the view's revision.
+    /// `age` is the time since the store was last known to be at the view's position. Evacuations
+    /// that the store lost are left out: each gateway keeps those that it has seen.
     #[must_use]
     pub fn to_full_update(&self, age: Duration) -> Update {
         let configuration = self.configuration.clone().map(Box::new).map(Change::Configuration);
@@ -92,8 +130,9 @@
         changes.extend(self.members.values().cloned().map(Change::Member));
         changes.extend(self.gateways.map(Change::Gateways));
         Update {
+            era: self.position.era,
             since: Revision(0),
-            revision: self.revision,
+            revision: self.position.revision,
             is_full: true,
             changes,
             hints: Vec::new(),
@@ -113,10 +152,10 @@
         self.configuration.as_ref().map_or(Generation(0), |current| current.version)
     }
 
-    /// Returns the revision of the store that the view corresponds to; 0 if unknown.
+    /// Returns the position of the store that the view corresponds to.
     #[must_use]
-    pub fn revision(&self) -> Revision {
-        self.revision
+    pub fn position(&self) -> Position {
+        self.position
     }
 
     /// Returns the targets of a service that may receive new requests.
@@ -133,7 +172,9 @@
     /// evacuated.
     #[must_use]
     pub fn is_usable(&self, target: &Target) -> bool {
-        target.state == TargetState::Ready && !self.zones_out.contains(&target.zone)
+        let is_evacuated =
+            self.zones_out.contains(&target.zone) || self.lost_evacuations.contains(&target.zone);
+        target.state == TargetState::Ready && !is_evacuated
     }
 
     /// Returns the registered targets.
@@ -164,9 +205,38 @@
         self.gateways
     }
 
-    /// Returns the evacuated zones.
+    /// Returns the evacuated zones, also those whose evacuation the store lost.
     pub fn zones_out(&self) -> impl Iterator<Item = &ZoneName> {
-        self.zones_out.iter()
+        self.zones_out.union(&self.lost_evacuations)
+    }
+
+    /// Returns the evacuated zones whose evacuation the store lost.
+    pub fn lost_evacuations(&self) -> impl Iterator<Item = &ZoneName> {
+        self.lost_evacuations.iter()
+    }
+
+    /// Prepares the view for the `listed` entries of a new era: begins the grace periods for
+    /// registrations and evacuations that the store lost, and forgets a number of gateways that it
+    /// lost, so that it is written again.
+    fn begin_era(&mut self, now: Tick, listed: &[Change]) {
+        self.grace_until = now + LAPSE_GRACE;
+        self.lapsed_members_until = now + LAPSE_GRACE;
+        self.lost_evacuations_until = now + LOST_EVACUATION_RETENTION;
+        let is_listed = |zone: &ZoneName| {
+            listed.iter().any(|change| matches!(change, Change::ZoneOut(listed) if listed == zone))
+        };
+        self.lost_evacuations.extend(self.zones_out.extract_if(.., |zone| !is_listed(zone)));
+        if !listed.iter().any(|change| matches!(change, Change::Gateways(_))) {
+            self.gateways = None;
+        }
+    }
+
+    /// Returns whether a listed entry is a registration that ended in an earlier era.
+    fn is_outdated_listing(&self, change: &Change) -> bool {
+        let Change::Target(target) = change else {
+            return false;
+        };
+        self.departed.is_outdated_listing(self.position.era, target)
     }
 
     /// Removes entries that came from a listing without a known revision, which may be outdated;
@@ -198,14 +268,22 @@
     fn apply_one(&mut self, now: Tick, change: Change, applied: &mut Vec<Change>) {
         let differs = match &change {
             Change::Configuration(configuration) => self.apply_configuration(configuration),
-            Change::ZoneOut(zone) => self.zones_out.insert(zone.clone()),
-            Change::ZoneIn(zone) => self.zones_out.remove(zone),
+            Change::ZoneOut(zone) => {
+                self.lost_evacuations.remove(zone);
+                self.zones_out.insert(zone.clone())
+            }
+            Change::ZoneIn(zone) => {
+                let was_lost = self.lost_evacuations.remove(zone);
+                self.zones_out.remove(zone) || was_lost
+            }
             Change::Target(target) => self.apply_target(target),
             Change::TargetGone(name) => self.remove_target(now, name),
             Change::Member(member) => {
-                self.members.insert(member.name.clone(), member.clone()).as_ref() != Some(member)
+                let was_lapsed = self.lapsed_members.remove(&member.name);
+                let known = self.members.insert(member.name.clone(), member.clone());
+                was_lapsed || known.as_ref() != Some(member)
             }
-            Change::MemberGone(name) => self.members.remove(name).is_some(),
+            Change::MemberGone(name) => self.remove_member(now, name),
             Change::Gateways(count) => self.gateways.replace(*count) != Some(*count),
         };
         if differs {
@@ -223,11 +301,13 @@
 
     fn apply_target(&mut self, target: &Target) -> bool {
         let was_lapsed = self.lapsed.remove(&target.name);
+        self.departed.remove(&target.name);
         let known = self.targets.get(&target.name);
         if known.is_some_and(|known| known.is_newer_than(target) && !was_lapsed) {
             return false;
         }
-        let differs = known.is_none_or(|known| target.differs(known));
+        // The end of a lapse is a change: followers may have lapsed the target as well.
+        let differs = was_lapsed || known.is_none_or(|known| target.differs(known));
         self.targets.insert(target.name.clone(), target.clone());
         differs
     }
@@ -242,6 +322,21 @@
             return false;
         }
         self.lapsed.remove(name);
-        self.targets.remove(name).is_some()
+        let removed = self.targets.remove(name);
+        if let Some(target) = &removed {
+            self.departed.note(now, self.position.era, target);
+        }
+        removed.is_some()
+    }
+
+    /// Removes a gateway. After a change of the store's era it is kept as lapsed for a time, because
+    /// it registers itself again; without gateways to follow, all would read the store.
+    fn remove_member(&mut self, now: Tick, name: &InstanceName) -> bool {
+        if now < self.lapsed_members_until && self.members.contains_key(name) {
+            self.lapsed_members.insert(name.clone());
+            return false;
+        }
+        self.lapsed_members.remove(name);
+        self.members.remove(name).is_some()
     }
 }
--- a/ibiscroft-core/tests/it/fleet/feed.rs
+++ b/ibiscroft-core/tests/it/fleet/feed.rs
@@ -8,7 +8,7 @@
 };
 use ibiscroft_core::ids::{Generation, TargetName};
 
-use super::world::{configuration, delta, full, member, target};
+use super::world::{configuration, delta, full, member, position, target};
 use crate::support::at;
 
 fn fleet() -> Vec<Member> {
@@ -197,12 +197,13 @@
     for case in cases {
         let mut history = UpdateHistory::default();
         if let Some(start) = case.start {
-            history.reset(Revision(start));
+            history.reset(position(0, start));
         }
         for revision in case.pushed {
-            history.push(Revision(revision), revision);
+            history.push(position(0, revision), revision);
         }
-        let missed = history.updates_after(Revision(case.follower)).map(|messages| messages.len());
+        let missed =
+            history.updates_after(position(0, case.follower)).map(|messages| messages.len());
         assert_eq!(missed, case.messages, "{}", case.name);
     }
 }
@@ -242,14 +243,14 @@
         let applied = view.apply(at(1), update.clone());
         let changes = relay.changes_to_forward(&update, &applied);
         if update.is_full {
-            history.reset(update.revision);
+            history.reset(update.position());
         } else {
-            history.push(update.revision, Update { changes, ..update });
+            history.push(update.position(), Update { changes, ..update });
         }
     }
     let mut follower = View::default();
     follower.apply(at(0), full(100, vec![config(8), entry(6)]));
-    for update in history.updates_after(Revision(100)).unwrap() {
+    for update in history.updates_after(position(0, 100)).unwrap() {
         follower.apply(at(2), update);
     }
     assert_eq!(follower.configuration_version(), Generation(10));
--- a/ibiscroft-core/tests/it/fleet/world.rs
+++ b/ibiscroft-core/tests/it/fleet/world.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use ibiscroft_core::fleet::{
-    CallerLimits, Change, Configuration, GatewayCapacity, Incarnation, Member, Repeatable,
-    Revision, Route, Share, Target, TargetState, Update,
+    CallerLimits, Change, Configuration, Era, GatewayCapacity, Incarnation, Member, Position,
+    Repeatable, Revision, Route, Share, Target, TargetState, Update,
 };
 use ibiscroft_core::ids::{Generation, InstanceName, ServiceName, Slots, TargetName, ZoneName};
 
@@ -67,6 +67,7 @@
 
 pub(super) fn full(revision: u64, changes: Vec<Change>) -> Update {
     Update {
+        era: Era(0),
         since: Revision(0),
         revision: Revision(revision),
         is_full: true,
@@ -76,6 +77,10 @@
     }
 }
 
+pub(super) fn position(era: u64, revision: u64) -> Position {
+    Position { era: Era(era), revision: Revision(revision) }
+}
+
 pub(super) fn delta(revision: u64, changes: Vec<Change>) -> Update {
     Update { is_full: false, ..full(revision, changes) }
 }
--- a/ibiscroft-edge/src/feed_hub.rs
+++ b/ibiscroft-edge/src/feed_hub.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::{GatewayCount, Hint, Revision, Update, UpdateHistory, View};
+use ibiscroft_core::fleet::{GatewayCount, Hint, Position, Revision, Update, UpdateHistory, View};
 use tokio::sync::broadcast;
 
 use crate::events::event;
@@ -41,16 +41,17 @@
         Ok(Self { update: Arc::new(update), encoded: Arc::new(encoded), created_at: now })
     }
 
-    /// Creates a message at `now` with hints and without changes, which states the `revision` of the
+    /// Creates a message at `now` with hints and without changes, which states the `position` of the
     /// view.
     ///
     /// # Errors
     ///
     /// Returns an error if the hints cannot be encoded in CBOR.
-    pub(crate) fn of_hints(revision: Revision, hints: Vec<Hint>, now: Tick) -> eyre::Result<Self> {
+    pub(crate) fn of_hints(position: Position, hints: Vec<Hint>, now: Tick) -> eyre::Result<Self> {
         let update = Update {
+            era: position.era,
             since: Revision(0),
-            revision,
+            revision: position.revision,
             is_full: false,
             changes: Vec::new(),
             hints,
@@ -121,19 +122,19 @@
         let mut history = self.history();
         let update = &message.update;
         if update.is_full {
-            history.reset(update.revision);
+            history.reset(update.position());
         } else if !update.changes.is_empty() {
-            history.push(update.revision, message.clone());
+            history.push(update.position(), message.clone());
         }
         drop(history);
         // Sending fails only if there are no followers.
         let _ = self.tx.send(message);
     }
 
-    /// Sends hints to all followers, in an update without changes that states the `revision` of the
+    /// Sends hints to all followers, in an update without changes that states the `position` of the
     /// view.
-    pub(crate) fn send_hints_to_followers(&self, revision: Revision, hints: Vec<Hint>, now: Tick) {
-        match FeedMessage::of_hints(revision, hints, now) {
+    pub(crate) fn send_hints_to_followers(&self, position: Position, hints: Vec<Hint>, now: Tick) {
+        match FeedMessage::of_hints(position, hints, now) {
             // Sending fails only if there are no followers.
             Ok(message) => drop(self.tx.send(message)),
             Err(error) => event!(MeshRefused, "reason={:?}", format!("encode hints: {error:#}")),
@@ -151,16 +152,16 @@
         self.source_hints.subscribe()
     }
 
-    /// Subscribes to updates after `revision`.
+    /// Subscribes to updates after `position`.
     ///
     /// Returns the past updates, `None` if not all of them are kept, and a receiver of those to
     /// come.
     pub(crate) fn subscribe(
         &self,
-        revision: Revision,
+        position: Position,
     ) -> (Option<Vec<FeedMessage>>, broadcast::Receiver<FeedMessage>) {
         let history = self.history();
-        (history.updates_after(revision), self.tx.subscribe())
+        (history.updates_after(position), self.tx.subscribe())
     }
 
     /// Returns a message with the full `view`, which is encoded once for all followers.
--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -13,7 +13,7 @@
 use futures_util::StreamExt;
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::{
-    Change, FleetSizeDebounce, FollowerMessage, GatewayCount, Hint, Member, Relay, Revision,
+    Change, FleetSizeDebounce, FollowerMessage, GatewayCount, Hint, Member, Position, Relay,
     Source, SourceCheck, SourceMonitor, SourceSelector, Update, View,
 };
 use tokio_tungstenite::tungstenite::Message;
@@ -40,6 +40,8 @@
 enum FollowEnd {
     /// Another source ranks higher now.
     Outranked,
+    /// The source has read a later era of the store, and its full view is needed.
+    MissesEra,
     /// The connection or the source failed, for the reason given.
     Failed(String),
 }
@@ -81,7 +83,7 @@
         loop {
             let source = self.select_source();
             if last.as_ref() != Some(&source) {
-                let revision = self.view.revision();
+                let revision = self.view.position();
                 event!(SourceChanged, "source={} revision={revision}", source_name(&source));
             }
             match &source {
@@ -103,7 +105,16 @@
 
     /// Follows a peer until it fails or another source ranks higher; records a failure.
     async fn follow_once(&mut self, peer: &Member) {
-        if let FollowEnd::Failed(reason) = self.follow(peer).await {
+        let mut end = self.follow(peer).await;
+        if matches!(end, FollowEnd::MissesEra) {
+            end = self.follow(peer).await;
+        }
+        let reason = match end {
+            FollowEnd::Outranked => None,
+            FollowEnd::MissesEra => Some("no full view of the store's era".to_string()),
+            FollowEnd::Failed(reason) => Some(reason),
+        };
+        if let Some(reason) = reason {
             let age = self.source_selector.staleness(self.shared.clock.now());
             event!(SourceLost, "peer={} age_ms={} reason={reason:?}", peer.name, age.as_millis());
             self.source_selector.note_source_failed(self.shared.clock.now(), &peer.name);
@@ -116,7 +127,7 @@
     async fn follow(&mut self, peer: &Member) -> FollowEnd {
         let connected = tokio::time::timeout(
             CONNECT_TIMEOUT,
-            mesh::connect(peer.address, self.view.revision()),
+            mesh::connect(peer.address, self.view.position()),
         )
         .await;
         let mut stream = match connected {
@@ -185,7 +196,10 @@
             match next {
                 Ok(Some(Ok(message))) => match mesh::decode_update(message) {
                     Ok(Some(update)) if !self.view.is_contiguous_with(&update) => {
-                        let (own, since) = (self.view.revision(), update.since);
+                        let (own, since) = (self.view.position(), update.since_position());
+                        if since.era > own.era {
+                            return FollowEnd::MissesEra;
+                        }
                         let reason = format!("changes after {own} and up to {since} are missing");
                         return FollowEnd::Failed(reason);
                     }
@@ -237,17 +251,24 @@
     /// Applies an update to the view and publishes the result, or handles its hints.
     fn apply_update(&mut self, update: Update, source: &str) {
         let now = self.shared.clock.now();
-        let before = self.view.revision();
+        let before = self.view.position();
         if !update.hints.is_empty() {
             self.on_hints(update.hints);
             return;
         }
-        if update.revision >= before && update.age < MAX_FRESH_UPDATE_AGE {
+        if update.position() >= before && update.age < MAX_FRESH_UPDATE_AGE {
             self.source_selector.note_fresh(now, update.age);
             self.reader.reset_backoff();
             self.shared.has_been_current.store(true, Ordering::Relaxed);
         }
         let applied = self.view.apply(now, update.clone());
+        if before.is_known() && self.view.position().era > before.era {
+            let (revision, kept) = (self.view.position(), self.view.lost_evacuations().count());
+            event!(
+                StoreRestored,
+                "revision={revision} before={before} source={source} lost_evacuations={kept}"
+            );
+        }
         let forwarded = self.relay.changes_to_forward(&update, &applied);
         self.publish(before, &applied, forwarded, source);
     }
@@ -263,13 +284,13 @@
             }
         }
         if !forwarded.is_empty() {
-            self.hub.send_hints_to_followers(self.view.revision(), forwarded, now);
+            self.hub.send_hints_to_followers(self.view.position(), forwarded, now);
         }
     }
 
     /// Removes targets whose grace period has ended, and publishes the result.
     fn expire(&mut self) {
-        let before = self.view.revision();
+        let before = self.view.position();
         let expired = self.view.expire(self.shared.clock.now());
         if !expired.is_empty() {
             self.publish(before, &expired, expired.clone(), "grace_ended");
@@ -278,14 +299,15 @@
 
     /// Publishes the view to the traffic thread, and an update to the followers.
     ///
-    /// `before` is the view's revision before the update, `applied` are the changes that made a
+    /// `before` is the view's position before the update, `applied` are the changes that made a
     /// difference to the view, and `forwarded` those that followers receive.
-    fn publish(&self, before: Revision, applied: &[Change], forwarded: Vec<Change>, source: &str) {
+    fn publish(&self, before: Position, applied: &[Change], forwarded: Vec<Change>, source: &str) {
         let now = self.shared.clock.now();
-        let revision = self.view.revision();
+        let position = self.view.position();
         let age = self.source_selector.staleness(now);
-        log_changes(revision, applied, source, age);
-        if !applied.is_empty() {
+        log_changes(position, applied, source, age);
+        let begins_era = position.era > before.era;
+        if !applied.is_empty() || begins_era {
             let version =
                 i64::try_from(self.view.configuration_version().get()).unwrap_or(i64::MAX);
             self.shared.metrics.configuration_version.set(version);
@@ -298,16 +320,18 @@
                 self.shared.traffic().retain_routes(configuration.routes());
             }
         }
-        if revision == Revision(0) {
+        if !position.is_known() {
             // The view comes from a stale listing and is of no use to followers.
             return;
         }
         self.hub.set_fresh_at(self.source_selector.fresh_at());
-        let update = if before == Revision(0) {
+        let update = if !before.is_known() || begins_era {
             self.view.to_full_update(age)
         } else {
             let hints = Vec::new();
-            Update { since: before, revision, is_full: false, changes: forwarded, hints, age }
+            let (since, revision) = (before.revision, position.revision);
+            let (era, changes) = (position.era, forwarded);
+            Update { era, since, revision, is_full: false, changes, hints, age }
         };
         match FeedMessage::new(update, now) {
             Ok(message) => self.hub.send(message),
--- a/ibiscroft-edge/src/feeder/change_log.rs
+++ b/ibiscroft-edge/src/feeder/change_log.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ibiscroft_core::fleet::{Change, Revision};
+use ibiscroft_core::fleet::{Change, Position};
 
 use crate::events::event;
 
@@ -11,16 +11,16 @@
 const MAX_LOGGED_CHANGES: usize = 60;
 
 /// Logs each change, or only their number if there are many, as in the first listing.
-pub(super) fn log_changes(revision: Revision, changes: &[Change], source: &str, age: Duration) {
+pub(super) fn log_changes(position: Position, changes: &[Change], source: &str, age: Duration) {
     let age = age.as_millis();
     if changes.len() > MAX_LOGGED_CHANGES {
         let count = changes.len();
-        event!(BeliefChanged, "revision={revision} source={source} age_ms={age} changes={count}");
+        event!(BeliefChanged, "revision={position} source={source} age_ms={age} changes={count}");
         return;
     }
     for change in changes {
         let change = change_fields(change);
-        event!(BeliefChanged, "revision={revision} source={source} age_ms={age} {change}");
+        event!(BeliefChanged, "revision={position} source={source} age_ms={age} {change}");
     }
 }
 
--- a/ibiscroft-edge/src/feeder/reading.rs
+++ b/ibiscroft-edge/src/feeder/reading.rs
@@ -40,7 +40,7 @@
         let knows_no_gateways = self.view.member_count() == 0;
         self.reader.set_has_followers(self.hub.gateway_count() > GatewayCount(1));
         let staleness = self.source_selector.staleness(self.shared.clock.now());
-        self.reader.begin(self.view.revision(), knows_no_gateways, staleness)
+        self.reader.begin(self.view.position(), knows_no_gateways, staleness)
     }
 
     /// Applies the response to a call to the store.
--- a/ibiscroft-edge/src/feeder/store_reader.rs
+++ b/ibiscroft-edge/src/feeder/store_reader.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::{GatewayCount, Revision, StoreBackoff, StoreCall, StoreCaller, Update};
+use ibiscroft_core::fleet::{GatewayCount, Position, StoreBackoff, StoreCall, StoreCaller, Update};
 use rand::Rng;
 use tokio::task::JoinHandle;
 
@@ -67,8 +67,8 @@
 /// The store's response to a read.
 #[derive(Debug)]
 pub(super) struct ReadResponse {
-    /// Revision after which changes were read.
-    revision: Revision,
+    /// Position after which changes were read.
+    position: Position,
     /// Whether the listing may be outdated.
     is_stale: bool,
     /// Maximum time since the store was in the state that the response describes.
@@ -82,7 +82,7 @@
 /// A read whose response is awaited; dropping it cancels the read.
 #[derive(Debug)]
 pub(super) struct PendingRead {
-    revision: Revision,
+    position: Position,
     begun_at: Tick,
     task: JoinHandle<ReadResponse>,
 }
@@ -99,7 +99,7 @@
         match (&mut self.task).await {
             Ok(response) => response,
             Err(error) => ReadResponse {
-                revision: self.revision,
+                position: self.position,
                 is_stale: false,
                 age: Duration::ZERO,
                 begun_at: self.begun_at,
@@ -113,7 +113,7 @@
 struct ReadTask<R> {
     shared: Arc<Shared>,
     registry: R,
-    revision: Revision,
+    position: Position,
 }
 
 impl<R: Registry> ReadTask<R> {
@@ -150,17 +150,20 @@
             ReadKind::List => self.list().await.map(Some),
         };
         let age = self.shared.clock.now().since(started).saturating_sub(allowed_wait);
-        ReadResponse { revision: self.revision, is_stale, age, begun_at, result }
+        ReadResponse { position: self.position, is_stale, age, begun_at, result }
     }
 
-    /// Reads the changes; `None` if the store does not respond in time.
+    /// Reads the changes; `None` if the store does not respond in time, or if its response is of a
+    /// later era and everything is to be listed.
     ///
     /// Watches may stay without a response while other calls get one, as before the store drops its
     /// history.
     async fn watch(&self, wait: Duration) -> Option<Result<Update, RegistryError>> {
         self.count("watch");
-        let watch = self.registry.watch(self.revision, wait);
-        tokio::time::timeout(wait + WATCH_RESPONSE_TIMEOUT, watch).await.ok()
+        let watch = self.registry.watch(self.position, wait);
+        let result = tokio::time::timeout(wait + WATCH_RESPONSE_TIMEOUT, watch).await.ok()?;
+        let is_of_later_era = result.as_ref().is_ok_and(|update| update.era > self.position.era);
+        (!is_of_later_era).then_some(result)
     }
 
     async fn list(&self) -> Result<Update, RegistryError> {
@@ -220,8 +223,8 @@
         }
     }
 
-    /// Begins to read the changes after `revision`, or to list everything if there is no such
-    /// revision or the store no longer keeps the changes; after a failed read, begins to check
+    /// Begins to read the changes after `position`, or to list everything if there is no such
+    /// position or the store no longer keeps the changes; after a failed read, begins to check
     /// whether the store responds. The response is passed to [`Self::finish`].
     ///
     /// A gateway that `knows_no_gateways` first reads stale listings, which are cheap, to find
@@ -229,7 +232,7 @@
     /// store up to `staleness` ago, is not about to become stale.
     pub(super) fn begin(
         &mut self,
-        revision: Revision,
+        position: Position,
         knows_no_gateways: bool,
         staleness: Duration,
     ) -> PendingRead {
@@ -239,7 +242,7 @@
         } else if knows_no_gateways && self.stale_listings < MAX_STALE_LISTINGS {
             self.stale_listings += 1;
             if self.stale_listings == 1 { ReadKind::Sample } else { ReadKind::Gateways }
-        } else if !self.is_history_lost && revision > Revision(0) {
+        } else if !self.is_history_lost && position.is_known() {
             ReadKind::Watch { wait }
         } else {
             ReadKind::List
@@ -247,30 +250,30 @@
         let task = ReadTask {
             shared: Arc::clone(&self.shared),
             registry: self.registry.clone(),
-            revision,
+            position,
         };
         let begun_at = self.shared.clock.now();
-        PendingRead { revision, begun_at, task: tokio::spawn(task.run(kind)) }
+        PendingRead { position, begun_at, task: tokio::spawn(task.run(kind)) }
     }
 
     /// Evaluates the response to a read.
     pub(super) fn finish(&mut self, response: ReadResponse) -> ReadResult {
-        let ReadResponse { revision, is_stale, age, begun_at, result } = response;
+        let ReadResponse { position, is_stale, age, begun_at, result } = response;
         let mut update = match result {
             Ok(Some(update)) => update,
             Ok(None) => {
-                self.on_reachable(revision, begun_at);
+                self.on_reachable(position, begun_at);
                 return ReadResult::Reachable;
             }
             Err(error) => {
-                self.on_error(&error, revision, begun_at);
+                self.on_error(&error, position, begun_at);
                 return ReadResult::Failed;
             }
         };
         if is_stale {
-            // The changes since the listing are unknown. Revision 0 makes the gateway that is
-            // followed next send its full view.
-            update.revision = Revision(0);
+            // The changes since the listing are unknown. An unknown position makes the gateway that
+            // is followed next send its full view.
+            (update.era, update.revision) = (Position::UNKNOWN.era, Position::UNKNOWN.revision);
             update.age = STALE_LISTING_AGE;
             return ReadResult::Updated { update, has_store_recovered: false };
         }
@@ -280,7 +283,7 @@
         self.is_history_lost = false;
         let has_store_recovered = std::mem::take(&mut self.is_store_lost);
         if has_store_recovered {
-            event!(StoreBack, "revision={}", update.revision);
+            event!(StoreBack, "revision={}", update.position());
         }
         ReadResult::Updated { update, has_store_recovered }
     }
@@ -327,10 +330,10 @@
     }
 
     /// Records that the store responded to a check that began at `begun_at`.
-    fn on_reachable(&mut self, revision: Revision, begun_at: Tick) {
+    fn on_reachable(&mut self, position: Position, begun_at: Tick) {
         self.backoff.note_reachable();
         let source_grace = self.schedule_follower_call(begun_at);
-        event!(StoreReachable, "revision={revision} source_grace_ms={}", source_grace.as_millis());
+        event!(StoreReachable, "revision={position} source_grace_ms={}", source_grace.as_millis());
     }
 
     /// Sets when this gateway, if it follows another one, makes the call after the one that began at
@@ -345,17 +348,17 @@
 
     /// Records a failed call that began at `begun_at`; if several fail in a row, only the first is
     /// logged.
-    fn on_error(&mut self, error: &RegistryError, revision: Revision, begun_at: Tick) {
+    fn on_error(&mut self, error: &RegistryError, position: Position, begun_at: Tick) {
         if *error == RegistryError::HistoryLost {
             self.is_history_lost = true;
-            event!(HistoryLost, "revision={revision}");
+            event!(HistoryLost, "revision={position}");
             return;
         }
         self.backoff.note_failure();
         let delay = self.schedule_follower_call(begun_at);
         if !std::mem::replace(&mut self.is_store_lost, true) {
             let (ms, reason) = (delay.as_millis(), error.to_string());
-            event!(StoreLost, "revision={revision} next_call_ms={ms} reason={reason:?}");
+            event!(StoreLost, "revision={position} next_call_ms={ms} reason={reason:?}");
         }
     }
 }
--- a/ibiscroft-edge/src/membership.rs
+++ b/ibiscroft-edge/src/membership.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::{Member, SourceSelector};
+use ibiscroft_core::fleet::{Era, Member, SourceSelector};
 use rand::Rng;
 
 use crate::events::event;
@@ -43,6 +43,7 @@
         let mut registered_at = Tick::ZERO;
         let delay = SourceSelector::registration_delay(&self.member());
         let mut needed_since = None;
+        let mut era = Era(0);
         while !self.shared.is_closing() {
             tokio::time::sleep(CHECK_INTERVAL).await;
             let now = self.shared.clock.now();
@@ -61,6 +62,15 @@
             if self.lease().is_none() && now.since(since) < delay {
                 continue;
             }
+            // A lease belongs to its era: the store has lost it, and may have given out its number
+            // again.
+            let current_era = self.shared.view.load().position().era;
+            let begins_era = std::mem::replace(&mut era, current_era) < current_era;
+            if begins_era && self.lease().is_some() {
+                event!(RegistrationFailed, "reason=\"the store has begun era {era}\"");
+                self.set_lease(None);
+                next_call = now;
+            }
             if self.was_removed(now, registered_at) {
                 event!(RegistrationFailed, "reason=\"registration is missing from the view\"");
                 self.set_lease(None);
--- a/ibiscroft-edge/src/mesh.rs
+++ b/ibiscroft-edge/src/mesh.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use eyre::WrapErr;
 use futures_util::{SinkExt, StreamExt};
-use ibiscroft_core::fleet::{FollowerMessage, GatewayCount, Hint, Revision, Update};
+use ibiscroft_core::fleet::{FollowerMessage, GatewayCount, Hint, Position, Update};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::broadcast::error::RecvError;
@@ -33,7 +33,7 @@
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Connects to the gateway at `address`, which then sends the updates after `revision`, or its full
+/// Connects to the gateway at `address`, which then sends the updates after `position`, or its full
 /// view if it no longer keeps them.
 ///
 /// # Errors
@@ -41,11 +41,11 @@
 /// Returns an error if the TCP connection or the WebSocket handshake fails.
 pub(crate) async fn connect(
     address: SocketAddr,
-    revision: Revision,
+    position: Position,
 ) -> eyre::Result<WebSocketStream<TcpStream>> {
     let stream = TcpStream::connect(address).await?;
     set_socket_options(&stream)?;
-    let url = format!("ws://{address}/feed?after={revision}");
+    let url = format!("ws://{address}/feed?after={position}");
     let (stream, _) = tokio_tungstenite::client_async(url, stream).await?;
     Ok(stream)
 }
@@ -101,7 +101,7 @@
 pub(crate) fn forward_hint(shared: &Shared, hub: &FeedHub, hint: Hint) {
     let now = shared.clock.now();
     hub.send_hint_to_source(hint.clone());
-    hub.send_hints_to_followers(shared.view.load().revision(), vec![hint], now);
+    hub.send_hints_to_followers(shared.view.load().position(), vec![hint], now);
 }
 
 /// Decodes a message of the source; returns `None` if it is not an update.
@@ -119,11 +119,11 @@
     Ok(Some(Update { age: Duration::from_micros(age), ..update }))
 }
 
-/// The revision after which a follower requests changes, parsed from the query of its handshake; 0
-/// if it states none.
-struct RequestedRevision(Revision);
+/// The position after which a follower requests changes, parsed from the query of its handshake;
+/// unknown if it states none.
+struct RequestedPosition(Position);
 
-impl Callback for &mut RequestedRevision {
+impl Callback for &mut RequestedPosition {
     fn on_request(self, req: &Request, res: Response) -> Result<Response, ErrorResponse> {
         let query = req.uri().query().unwrap_or_default();
         let stated = query.strip_prefix("after=").and_then(|text| text.parse().ok());
@@ -163,16 +163,17 @@
     hub: &FeedHub,
 ) -> eyre::Result<()> {
     set_socket_options(&stream)?;
-    let mut after = RequestedRevision(Revision(0));
+    let mut after = RequestedPosition(Position::UNKNOWN);
     let mut stream =
         tokio_tungstenite::accept_hdr_async(stream, &mut after).await.wrap_err("handshake")?;
-    let RequestedRevision(after) = after;
+    let RequestedPosition(after) = after;
     let checked_at = shared.clock.now();
     let staleness = hub.staleness(checked_at);
     let (missed, mut updates) = hub.subscribe(after);
     match missed {
         Some(missed) => {
-            let reached = missed.last().map_or(after, |message| message.update.revision.max(after));
+            let reached =
+                missed.last().map_or(after, |message| message.update.position().max(after));
             for message in missed {
                 stream.send(encode_update(shared, &message)?).await?;
             }
@@ -183,7 +184,7 @@
     }
     let hints = shared.traffic().lasting_hints();
     if !hints.is_empty() {
-        let message = FeedMessage::of_hints(shared.view.load().revision(), hints, checked_at)?;
+        let message = FeedMessage::of_hints(shared.view.load().position(), hints, checked_at)?;
         stream.send(encode_update(shared, &message)?).await?;
     }
     loop {
@@ -216,12 +217,13 @@
     encode_with_age(message, age)
 }
 
-/// Encodes an update without changes, which tells a follower whose view has reached `revision` that
+/// Encodes an update without changes, which tells a follower whose view has reached `position` that
 /// it matched the store `age` ago.
-fn encode_freshness(shared: &Shared, revision: Revision, age: Duration) -> eyre::Result<Message> {
+fn encode_freshness(shared: &Shared, position: Position, age: Duration) -> eyre::Result<Message> {
     let update = Update {
-        since: revision,
-        revision,
+        era: position.era,
+        since: position.revision,
+        revision: position.revision,
         is_full: false,
         changes: Vec::new(),
         hints: Vec::new(),
--- a/ibiscroft-edge/src/registry.rs
+++ b/ibiscroft-edge/src/registry.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::time::Duration;
 
-use ibiscroft_core::fleet::{GatewayCount, Member, Revision, Update};
+use ibiscroft_core::fleet::{GatewayCount, Member, Position, Update};
 use ibiscroft_core::number_newtype;
 
 number_newtype!(
@@ -15,7 +15,8 @@
 /// Why a call to the store failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RegistryError {
-    /// The store no longer keeps the changes after the given revision.
+    /// The store does not have the changes after the given revision: it no longer keeps them, or it
+    /// has returned from an older copy.
     HistoryLost,
     /// The lease has expired or does not exist.
     LeaseExpired,
@@ -28,7 +29,7 @@
 impl fmt::Display for RegistryError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::HistoryLost => f.write_str("the store no longer keeps these changes"),
+            Self::HistoryLost => f.write_str("the store does not have these changes"),
             Self::LeaseExpired => f.write_str("the lease has expired or does not exist"),
             Self::Unavailable(reason) => write!(f, "store unavailable: {reason}"),
             Self::Malformed(reason) => write!(f, "store's response cannot be read: {reason}"),
@@ -90,15 +91,17 @@
     /// Returns an error if the call fails or a response cannot be decoded.
     fn list_gateways(&self) -> impl Future<Output = Result<Update, RegistryError>> + Send;
 
-    /// Waits for changes after the revision `after`, at most for `wait`, and returns them.
+    /// Waits for changes after the position `after`, at most for `wait`, and returns them.
+    ///
+    /// The update may be of a later era than `after`; it then lacks what the store lost.
     ///
     /// # Errors
     ///
-    /// Returns [`RegistryError::HistoryLost`] if the store no longer keeps these changes, and other
+    /// Returns [`RegistryError::HistoryLost`] if the store does not have these changes, and other
     /// errors if the call fails or the response cannot be decoded.
     fn watch(
         &self,
-        after: Revision,
+        after: Position,
         wait: Duration,
     ) -> impl Future<Output = Result<Update, RegistryError>> + Send;
 
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -9,7 +9,7 @@
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::{
     AttemptOutcome, ColdTargetLimiter, Departure, FleetSize, GatewayCount, Hint, LeavingTargets,
-    MAX_REST, ProbeBudget, ProbeReport, RestingTargets, RetryLimits, RetryWindow, Revision, Route,
+    MAX_REST, ProbeBudget, ProbeReport, RestingTargets, RetryLimits, RetryWindow, Route,
     SaturationSlowdown, StopSchedule, Target, TargetHealth, TrafficSplit, View,
 };
 use ibiscroft_core::ids::{ServiceName, TargetName};
@@ -290,7 +290,7 @@
         let view = self.view.load();
         let mut targets = view.targets().count() as f64;
         let traffic = self.traffic();
-        if view.revision() == Revision(0) && traffic.listed_fraction > 0.0 {
+        if !view.position().is_known() && traffic.listed_fraction > 0.0 {
             targets /= traffic.listed_fraction;
         }
         let gateways = f64::from(traffic.fleet_size.get(self.clock.now()).get());
