fix(core,edge): views agree after a change of era in any order of messages

- a late response of an older era, which the view drops, was forwarded whole after a listing, as changes of the new era;
- a gateway that had seen a target leave waits for a later registration, which its source took for an unchanged renewal and did not forward;
- a target that the store lost was passed on as if it were registered, or its end was not forwarded in the grace period, so that another follower's grace period ended it although it had registered again;
- a lost target whose grace period had ended was taken from an older copy.

Two of them do not need an era, and were in the code before:

- the changes that a gateway finds by a listing lack what was changed and changed back; a follower that is ahead of the state before the listing applied them and kept, for example, an evacuation that had ended;
- updates without changes were missing in the history for followers, so a follower that reconnected behind one got a gap, and gave its source up.

Ruled out: forwarding all updates whole (renewals are most of the bytes between zones); full views in place of all differences (the same in an outage).

Change: `View::accepts` decides what is dropped, also for followers. The first renewal of each target in an era is forwarded. `Update` has `is_difference`; a follower that is ahead asks for the full view, as it does for a newer era. The history keeps updates without changes. An end of registration is dated to the era in which the target was last seen.

--- a/ibiscroft-core/src/fleet/change.rs
+++ b/ibiscroft-core/src/fleet/change.rs
@@ -95,6 +95,10 @@
     pub revision: Revision,
     /// Whether the changes describe the whole state; entries that are missing no longer exist.
     pub is_full: bool,
+    /// Whether the changes were found by a comparison of the states at both revisions. They lack
+    /// what was changed and changed back in between, so they apply to a view at `since` only.
+    #[serde(default, skip_serializing_if = "Update::is_false")]
+    pub is_difference: bool,
     /// The changes, in the order in which they apply.
     pub changes: Vec<Change>,
     /// Observations of gateways that are not kept in the store.
@@ -116,6 +120,10 @@
         Position { era: self.era, revision: self.revision }
     }
 
+    fn is_false(value: &bool) -> bool {
+        !value
+    }
+
     fn is_first_era(era: &Era) -> bool {
         *era == Era(0)
     }
--- a/ibiscroft-core/src/fleet/departed_targets.rs
+++ b/ibiscroft-core/src/fleet/departed_targets.rs
@@ -16,6 +16,8 @@
     era: Era,
     incarnation: Incarnation,
     sequence: u64,
+    /// Whether the end was read from the store, and not concluded from the end of a grace period.
+    is_read: bool,
     ended_at: Tick,
 }
 
@@ -29,11 +31,13 @@
 }
 
 impl DepartedTargets {
-    /// Records that the registration of `target` ended in `era`. Forgets the target whose
+    /// Records that the registration of `target` ended in `era`: `is_read` says whether the store
+    /// showed its end, or a grace period ended without a renewal. Forgets the target whose
     /// registration ended first if there are too many.
-    pub(super) fn note(&mut self, now: Tick, era: Era, target: &Target) {
+    pub(super) fn note(&mut self, now: Tick, era: Era, target: &Target, is_read: bool) {
         let Target { name, incarnation, sequence, .. } = target;
-        let entry = Entry { era, incarnation: *incarnation, sequence: *sequence, ended_at: now };
+        let (incarnation, sequence) = (*incarnation, *sequence);
+        let entry = Entry { era, incarnation, sequence, is_read, ended_at: now };
         self.entries.insert(name.clone(), entry);
         if self.entries.len() > MAX_TARGETS {
             let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.ended_at);
@@ -48,11 +52,13 @@
         self.entries.remove(name);
     }
 
-    /// Returns whether a registration in a listing of `era` may be one that ended in an earlier era.
+    /// Returns whether a registration in a listing of `era` is older than the last one known, or may
+    /// be that one although its end was read in an earlier era.
     pub(super) fn is_outdated_listing(&self, era: Era, target: &Target) -> bool {
         self.entries.get(&target.name).is_some_and(|entry| {
             let ended = (entry.incarnation, entry.sequence);
-            entry.era < era && (target.incarnation, target.sequence) <= ended
+            let listed = (target.incarnation, target.sequence);
+            entry.era < era && (listed < ended || (entry.is_read && listed == ended))
         })
     }
 }
--- a/ibiscroft-core/src/fleet/view.rs
+++ b/ibiscroft-core/src/fleet/view.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::change::{Change, Position, Revision, Update};
+use super::change::{Change, Era, Position, Revision, Update};
 use super::configuration::Configuration;
 use super::departed_targets::DepartedTargets;
 use super::target::{GatewayCount, Member, Target, TargetState};
@@ -31,15 +31,22 @@
     lapsed: BTreeSet<TargetName>,
     /// End of the grace period after the last outage of the store.
     grace_until: Tick,
-    /// Gateways whose registration the store lost with the change of its era; kept until
-    /// `lapsed_members_until`.
-    lapsed_members: BTreeSet<InstanceName>,
-    lapsed_members_until: Tick,
+    /// Targets and gateways whose registration the store lost with the change of its era; kept
+    /// until `lost_until`.
+    lost_targets: BTreeSet<TargetName>,
+    lost_members: BTreeSet<InstanceName>,
+    lost_until: Tick,
+    /// Whether `lost_until` has not passed yet.
+    is_in_grace_of_era: bool,
     /// Evacuated zones that the store lost with the change of its era; evacuated until
     /// `lost_evacuations_until`.
     lost_evacuations: BTreeSet<ZoneName>,
     lost_evacuations_until: Tick,
     departed: DepartedTargets,
+    /// Targets that have not renewed their registration since the store's era began. The first
+    /// renewal counts as a change: others may have seen the target leave in an earlier era and wait
+    /// for a later registration.
+    unrenewed: BTreeSet<TargetName>,
 }
 
 impl View {
@@ -54,12 +61,11 @@
     /// the copy is older: a later registration is kept, and one that ended is not taken from the
     /// copy.
     pub fn apply(&mut self, now: Tick, update: Update) -> Vec<Change> {
-        let begins_era = update.era > self.position.era;
-        if update.position() < self.position || (begins_era && !update.is_full) {
+        if !self.accepts(&update) {
             return Vec::new();
         }
+        let begins_era = update.era > self.position.era;
         let is_first = !self.position.is_known();
-        self.position = update.position();
         let mut applied = Vec::new();
         if is_first && update.is_full {
             self.clear_entries();
@@ -72,21 +78,42 @@
                 self.apply_one(now, change, &mut applied);
             }
         }
+        // Removals that a listing implies ended in the era before it.
+        self.position = update.position();
+        let renewed = self.renewed_targets(&update);
         for change in update.changes {
             if update.is_full && self.is_outdated_listing(&change) {
                 continue;
             }
             self.apply_one(now, change, &mut applied);
         }
+        for name in renewed {
+            self.unrenewed.remove(&name);
+        }
+        if begins_era {
+            self.unrenewed = self.targets.keys().cloned().collect();
+        }
         applied
     }
 
+    /// Returns whether the update has an effect: it is not older than the view, and full if it leads
+    /// to a new era. Changes of other updates must not be forwarded either.
+    #[must_use]
+    pub fn accepts(&self, update: &Update) -> bool {
+        let begins_era = update.era > self.position.era;
+        update.position() >= self.position && (update.is_full || !begins_era)
+    }
+
     /// Returns whether the update can be applied without missing changes between the view's
     /// position and the update.
     #[must_use]
     pub fn is_contiguous_with(&self, update: &Update) -> bool {
+        let (since, position) = (update.since_position(), update.position());
         let has_hints_only = !update.hints.is_empty();
-        update.is_full || has_hints_only || update.since_position() <= self.position
+        if update.is_difference && since < self.position && self.position < position {
+            return false;
+        }
+        update.is_full || has_hints_only || since <= self.position
     }
 
     /// Starts the grace period: the store responds again after an outage.
@@ -94,18 +121,30 @@
         self.grace_until = now + LAPSE_GRACE;
     }
 
-    /// Removes lapsed targets and gateways and lost evacuations whose time has ended; returns the
-    /// resulting changes.
+    /// Removes lapsed and lost entries whose time has ended; returns the resulting changes.
     pub fn expire(&mut self, now: Tick) -> Vec<Change> {
         let mut applied = Vec::new();
+        let mut ended = Vec::new();
+        let era = self.position.era;
         if now >= self.grace_until {
-            for name in std::mem::take(&mut self.lapsed) {
-                self.targets.remove(&name);
-                applied.push(Change::TargetGone(name));
+            ended.extend(std::mem::take(&mut self.lapsed).into_iter().map(|name| (name, era)));
+        }
+        if now >= self.lost_until {
+            self.is_in_grace_of_era = false;
+            // They were seen last in an earlier era.
+            let before = Era(era.get().saturating_sub(1));
+            let lost = std::mem::take(&mut self.lost_targets);
+            ended.extend(lost.into_iter().map(|name| (name, before)));
+        }
+        for (name, era) in ended {
+            if let Some(target) = self.targets.remove(&name) {
+                self.departed.note(now, era, &target, false);
             }
+            self.unrenewed.remove(&name);
+            applied.push(Change::TargetGone(name));
         }
-        if now >= self.lapsed_members_until {
-            for name in std::mem::take(&mut self.lapsed_members) {
+        if now >= self.lost_until {
+            for name in std::mem::take(&mut self.lost_members) {
                 self.members.remove(&name);
                 applied.push(Change::MemberGone(name));
             }
@@ -119,21 +158,25 @@
 
     /// Returns a full update with the whole state, for a gateway that has none.
     ///
-    /// `age` is the time since the store was last known to be at the view's position. Evacuations
-    /// that the store lost are left out: each gateway keeps those that it has seen.
+    /// `age` is the time since the store was last known to be at the view's position. What the
+    /// store lost with the change of its era is left out: each gateway keeps what it has seen, for
+    /// its own time, and none takes it for the store's word.
     #[must_use]
     pub fn to_full_update(&self, age: Duration) -> Update {
         let configuration = self.configuration.clone().map(Box::new).map(Change::Configuration);
         let mut changes: Vec<Change> = configuration.into_iter().collect();
         changes.extend(self.zones_out.iter().cloned().map(Change::ZoneOut));
-        changes.extend(self.targets.values().cloned().map(Change::Target));
-        changes.extend(self.members.values().cloned().map(Change::Member));
+        let targets = self.targets.values().filter(|t| !self.lost_targets.contains(&t.name));
+        changes.extend(targets.cloned().map(Change::Target));
+        let members = self.members.values().filter(|m| !self.lost_members.contains(&m.name));
+        changes.extend(members.cloned().map(Change::Member));
         changes.extend(self.gateways.map(Change::Gateways));
         Update {
             era: self.position.era,
             since: Revision(0),
             revision: self.position.revision,
             is_full: true,
+            is_difference: false,
             changes,
             hints: Vec::new(),
             age,
@@ -215,12 +258,19 @@
         self.lost_evacuations.iter()
     }
 
+    /// Returns whether the view keeps entries whose registration has ended, for the grace period of
+    /// a new era. Followers then receive a listing as a full view, from which these are left out.
+    #[must_use]
+    pub fn is_in_grace_of_era(&self) -> bool {
+        self.is_in_grace_of_era
+    }
+
     /// Prepares the view for the `listed` entries of a new era: begins the grace periods for
     /// registrations and evacuations that the store lost, and forgets a number of gateways that it
     /// lost, so that it is written again.
     fn begin_era(&mut self, now: Tick, listed: &[Change]) {
-        self.grace_until = now + LAPSE_GRACE;
-        self.lapsed_members_until = now + LAPSE_GRACE;
+        self.lost_until = now + LAPSE_GRACE;
+        self.is_in_grace_of_era = true;
         self.lost_evacuations_until = now + LOST_EVACUATION_RETENTION;
         let is_listed = |zone: &ZoneName| {
             listed.iter().any(|change| matches!(change, Change::ZoneOut(listed) if listed == zone))
@@ -231,6 +281,19 @@
         }
     }
 
+    /// Returns the targets that an update shows to have renewed their registration in this era. A
+    /// listing does not tell: it may contain what a gateway has seen in an earlier era.
+    fn renewed_targets(&self, update: &Update) -> Vec<TargetName> {
+        if update.is_full || update.is_difference || self.unrenewed.is_empty() {
+            return Vec::new();
+        }
+        let name = |change: &Change| match change {
+            Change::Target(target) => Some(target.name.clone()),
+            _ => None,
+        };
+        update.changes.iter().filter_map(name).collect()
+    }
+
     /// Returns whether a listed entry is a registration that ended in an earlier era.
     fn is_outdated_listing(&self, change: &Change) -> bool {
         let Change::Target(target) = change else {
@@ -279,9 +342,9 @@
             Change::Target(target) => self.apply_target(target),
             Change::TargetGone(name) => self.remove_target(now, name),
             Change::Member(member) => {
-                let was_lapsed = self.lapsed_members.remove(&member.name);
+                let was_lost = self.lost_members.remove(&member.name);
                 let known = self.members.insert(member.name.clone(), member.clone());
-                was_lapsed || known.as_ref() != Some(member)
+                was_lost || known.as_ref() != Some(member)
             }
             Change::MemberGone(name) => self.remove_member(now, name),
             Change::Gateways(count) => self.gateways.replace(*count) != Some(*count),
@@ -300,43 +363,55 @@
     }
 
     fn apply_target(&mut self, target: &Target) -> bool {
+        let was_lost = self.lost_targets.remove(&target.name);
         let was_lapsed = self.lapsed.remove(&target.name);
         self.departed.remove(&target.name);
         let known = self.targets.get(&target.name);
         if known.is_some_and(|known| known.is_newer_than(target) && !was_lapsed) {
-            return false;
+            return was_lost;
         }
+        let is_renewal = known.is_some_and(|known| target.is_newer_than(known))
+            && self.unrenewed.contains(&target.name);
         // The end of a lapse is a change: followers may have lapsed the target as well.
-        let differs = was_lapsed || known.is_none_or(|known| target.differs(known));
+        let differs =
+            was_lapsed || was_lost || is_renewal || known.is_none_or(|known| target.differs(known));
         self.targets.insert(target.name.clone(), target.clone());
         differs
     }
 
-    /// Removes a target. During the grace period, a target that was not draining is kept as lapsed
-    /// instead, because its registration may have ended only due to the outage.
+    /// Removes a target. During a grace period, a target that was not draining is kept as lapsed
+    /// instead, because its registration may have ended only due to the outage or the change of era.
     fn remove_target(&mut self, now: Tick, name: &TargetName) -> bool {
         let is_draining =
             self.targets.get(name).is_some_and(|target| target.state == TargetState::Draining);
-        if now < self.grace_until && !is_draining && self.targets.contains_key(name) {
+        let is_kept = !is_draining && self.targets.contains_key(name);
+        if is_kept && now < self.lost_until {
+            self.lapsed.remove(name);
+            self.lost_targets.insert(name.clone());
+            return false;
+        }
+        if is_kept && now < self.grace_until {
             self.lapsed.insert(name.clone());
             return false;
         }
         self.lapsed.remove(name);
+        self.lost_targets.remove(name);
+        self.unrenewed.remove(name);
         let removed = self.targets.remove(name);
         if let Some(target) = &removed {
-            self.departed.note(now, self.position.era, target);
+            self.departed.note(now, self.position.era, target, true);
         }
         removed.is_some()
     }
 
-    /// Removes a gateway. After a change of the store's era it is kept as lapsed for a time, because
+    /// Removes a gateway. After a change of the store's era it is kept for a time, because
     /// it registers itself again; without gateways to follow, all would read the store.
     fn remove_member(&mut self, now: Tick, name: &InstanceName) -> bool {
-        if now < self.lapsed_members_until && self.members.contains_key(name) {
-            self.lapsed_members.insert(name.clone());
+        if now < self.lost_until && self.members.contains_key(name) {
+            self.lost_members.insert(name.clone());
             return false;
         }
-        self.lapsed_members.remove(name);
+        self.lost_members.remove(name);
         self.members.remove(name).is_some()
     }
 }
--- a/ibiscroft-core/tests/it/fleet.rs
+++ b/ibiscroft-core/tests/it/fleet.rs
@@ -1,6 +1,7 @@
 //! Tests of `fleet`.
 
 mod budgets;
+mod era;
 mod feed;
 mod herds;
 mod holding;
--- a/ibiscroft-core/tests/it/fleet/feed.rs
+++ b/ibiscroft-core/tests/it/fleet/feed.rs
@@ -241,7 +241,7 @@
     view.apply(at(0), listing);
     for update in upstream {
         let applied = view.apply(at(1), update.clone());
-        let changes = relay.changes_to_forward(&update, &applied);
+        let changes = relay.changes_to_forward(&view, &update, &applied);
         if update.is_full {
             history.reset(update.position());
         } else {
@@ -272,7 +272,7 @@
     for (update, forwarded) in updates {
         let applied = view.apply(at(0), update.clone());
         assert_eq!(
-            relay.changes_to_forward(&update, &applied).len(),
+            relay.changes_to_forward(&view, &update, &applied).len(),
             forwarded,
             "revision {}",
             update.revision
--- a/ibiscroft-core/tests/it/fleet/world.rs
+++ b/ibiscroft-core/tests/it/fleet/world.rs
@@ -71,6 +71,7 @@
         since: Revision(0),
         revision: Revision(revision),
         is_full: true,
+        is_difference: false,
         changes,
         hints: Vec::new(),
         age: Duration::ZERO,
--- a/ibiscroft-edge/src/feed_hub.rs
+++ b/ibiscroft-edge/src/feed_hub.rs
@@ -53,6 +53,7 @@
             since: Revision(0),
             revision: position.revision,
             is_full: false,
+            is_difference: false,
             changes: Vec::new(),
             hints,
             age: UNKNOWN_AGE,
@@ -121,9 +122,10 @@
     pub(crate) fn send(&self, message: FeedMessage) {
         let mut history = self.history();
         let update = &message.update;
-        if update.is_full {
+        if update.is_full || update.is_difference {
             history.reset(update.position());
-        } else if !update.changes.is_empty() {
+        } else {
+            // Also without changes: later updates continue at its position.
             history.push(update.position(), message.clone());
         }
         drop(history);
--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -40,8 +40,9 @@
 enum FollowEnd {
     /// Another source ranks higher now.
     Outranked,
-    /// The source has read a later era of the store, and its full view is needed.
-    MissesEra,
+    /// The changes of the source do not apply to this view, and its full view is needed: the source
+    /// has read a later era of the store, or has listed it while this gateway was ahead of it.
+    NeedsFullView,
     /// The connection or the source failed, for the reason given.
     Failed(String),
 }
@@ -106,12 +107,12 @@
     /// Follows a peer until it fails or another source ranks higher; records a failure.
     async fn follow_once(&mut self, peer: &Member) {
         let mut end = self.follow(peer).await;
-        if matches!(end, FollowEnd::MissesEra) {
+        if matches!(end, FollowEnd::NeedsFullView) {
             end = self.follow(peer).await;
         }
         let reason = match end {
             FollowEnd::Outranked => None,
-            FollowEnd::MissesEra => Some("no full view of the store's era".to_string()),
+            FollowEnd::NeedsFullView => Some("no full view from the source".to_string()),
             FollowEnd::Failed(reason) => Some(reason),
         };
         if let Some(reason) = reason {
@@ -197,8 +198,8 @@
                 Ok(Some(Ok(message))) => match mesh::decode_update(message) {
                     Ok(Some(update)) if !self.view.is_contiguous_with(&update) => {
                         let (own, since) = (self.view.position(), update.since_position());
-                        if since.era > own.era {
-                            return FollowEnd::MissesEra;
+                        if since.era > own.era || update.is_difference {
+                            return FollowEnd::NeedsFullView;
                         }
                         let reason = format!("changes after {own} and up to {since} are missing");
                         return FollowEnd::Failed(reason);
@@ -256,12 +257,16 @@
             self.on_hints(update.hints);
             return;
         }
-        if update.position() >= before && update.age < MAX_FRESH_UPDATE_AGE {
+        if !self.view.accepts(&update) {
+            return;
+        }
+        if update.age < MAX_FRESH_UPDATE_AGE {
             self.source_selector.note_fresh(now, update.age);
             self.reader.reset_backoff();
             self.shared.has_been_current.store(true, Ordering::Relaxed);
         }
         let applied = self.view.apply(now, update.clone());
+        let is_difference = update.is_full || update.is_difference;
         if before.is_known() && self.view.position().era > before.era {
             let (revision, kept) = (self.view.position(), self.view.lost_evacuations().count());
             event!(
@@ -269,8 +274,8 @@
                 "revision={revision} before={before} source={source} lost_evacuations={kept}"
             );
         }
-        let forwarded = self.relay.changes_to_forward(&update, &applied);
-        self.publish(before, &applied, forwarded, source);
+        let forwarded = self.relay.changes_to_forward(&self.view, &update, &applied);
+        self.publish(before, is_difference, &applied, forwarded, source);
     }
 
     /// Applies hints of the source and forwards those that the followers need.
@@ -293,15 +298,22 @@
         let before = self.view.position();
         let expired = self.view.expire(self.shared.clock.now());
         if !expired.is_empty() {
-            self.publish(before, &expired, expired.clone(), "grace_ended");
+            self.publish(before, false, &expired, expired.clone(), "grace_ended");
         }
     }
 
     /// Publishes the view to the traffic thread, and an update to the followers.
     ///
-    /// `before` is the view's position before the update, `applied` are the changes that made a
-    /// difference to the view, and `forwarded` those that followers receive.
-    fn publish(&self, before: Position, applied: &[Change], forwarded: Vec<Change>, source: &str) {
+    /// `before` is the view's position before the update, `is_difference` says whether the
+    /// update was a listing or a difference, `applied` are the changes that made a difference to the view, and `forwarded` those that followers receive.
+    fn publish(
+        &self,
+        before: Position,
+        is_difference: bool,
+        applied: &[Change],
+        forwarded: Vec<Change>,
+        source: &str,
+    ) {
         let now = self.shared.clock.now();
         let position = self.view.position();
         let age = self.source_selector.staleness(now);
@@ -325,13 +337,14 @@
             return;
         }
         self.hub.set_fresh_at(self.source_selector.fresh_at());
-        let update = if !before.is_known() || begins_era {
+        let is_listing_in_grace = is_difference && self.view.is_in_grace_of_era();
+        let update = if !before.is_known() || begins_era || is_listing_in_grace {
             self.view.to_full_update(age)
         } else {
             let hints = Vec::new();
             let (since, revision) = (before.revision, position.revision);
             let (era, changes) = (position.era, forwarded);
-            Update { era, since, revision, is_full: false, changes, hints, age }
+            Update { era, since, revision, is_full: false, is_difference, changes, hints, age }
         };
         match FeedMessage::new(update, now) {
             Ok(message) => self.hub.send(message),
--- a/ibiscroft-edge/src/mesh.rs
+++ b/ibiscroft-edge/src/mesh.rs
@@ -225,6 +225,7 @@
         since: position.revision,
         revision: position.revision,
         is_full: false,
+        is_difference: false,
         changes: Vec::new(),
         hints: Vec::new(),
         age,
