fix(edge): the view for new followers continues at the position of the last update

Cause: the view that a gateway sends to a new follower was replaced only by updates that changed an entry, while later updates continue at the position of the last one. A gateway that connected after renewals without other changes got a view at revision 7 and then changes after 10, gave its source up ("changes after 7 and up to 10 are missing") and avoided it for 4 s.

Change: the view is replaced whenever its position changes. The number of gateways is still noted only with changes, as noting it again would keep an earlier maximum in effect.

--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -304,8 +304,9 @@
 
     /// Publishes the view to the traffic thread, and an update to the followers.
     ///
-    /// `before` is the view's position before the update, `is_difference` says whether the
-    /// update was a listing or a difference, `applied` are the changes that made a difference to the view, and `forwarded` those that followers receive.
+    /// `before` is the view's position before the update, `is_difference` says whether the update was
+    /// a listing or a difference, `applied` are the changes that made a difference to the view, and
+    /// `forwarded` those that followers receive.
     fn publish(
         &self,
         before: Position,
@@ -319,11 +320,15 @@
         let age = self.source_selector.staleness(now);
         log_changes(position, applied, source, age);
         let begins_era = position.era > before.era;
-        if !applied.is_empty() || begins_era {
+        // Also without changes: new followers get this view, and later updates continue at its
+        // position.
+        if !applied.is_empty() || position != before {
+            self.shared.view.store(Arc::new(self.view.clone()));
+        }
+        if !applied.is_empty() {
             let version =
                 i64::try_from(self.view.configuration_version().get()).unwrap_or(i64::MAX);
             self.shared.metrics.configuration_version.set(version);
-            self.shared.view.store(Arc::new(self.view.clone()));
             if let Some(count) = self.view.gateway_count() {
                 self.shared.traffic().fleet_size.note(now, count);
             }
