--- a/ibiscroft-core/tests/it/fleet/feed.rs
+++ b/ibiscroft-core/tests/it/fleet/feed.rs
@@ -224,6 +224,31 @@
     }
 }
 
+/// Guards against followers that miss what was changed and changed back while their source lists the
+/// store: such an update applies to the state before the listing alone.
+#[test]
+fn difference_applies_only_to_the_state_that_it_was_found_from() {
+    struct Case {
+        name: &'static str,
+        revision: u64,
+        is_contiguous: bool,
+    }
+    let cases = [
+        Case { name: "behind", revision: 39, is_contiguous: false },
+        Case { name: "at the state before", revision: 40, is_contiguous: true },
+        Case { name: "ahead of it", revision: 45, is_contiguous: false },
+        Case { name: "at the state after", revision: 50, is_contiguous: true },
+        Case { name: "ahead of both", revision: 60, is_contiguous: true },
+    ];
+    for case in cases {
+        let mut view = View::default();
+        view.apply(at(0), full(case.revision, vec![]));
+        let update = Update { since: Revision(40), is_difference: true, ..delta(50, vec![]) };
+        assert_eq!(view.is_contiguous_with(&update), case.is_contiguous, "{}", case.name);
+        assert_eq!(view.accepts(&update), case.revision <= 50, "{}", case.name);
+    }
+}
+
 /// A gateway that read an outdated listing may already know the entries of a later change. The
 /// change has no effect on its own view, but its followers lack the entries.
 #[test]
