--- a/ibiscroft-core/tests/it/fleet/era.rs
+++ b/ibiscroft-core/tests/it/fleet/era.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use ibiscroft_core::fleet::{Change, Era, Position, Target, TargetState, Update, View};
+use ibiscroft_core::fleet::{Change, Era, Position, Relay, Target, TargetState, Update, View};
 use ibiscroft_core::ids::{Generation, InstanceName, ServiceName, TargetName, ZoneName};
 
 use super::world::{configuration, delta, full, member, position, target};
@@ -226,6 +226,48 @@
     }
 }
 
+/// Pattern: a source that has seen the target leave too leaves it out of its full view, and the
+/// store, listed later in the same era, still shows the copy's entry.
+#[test]
+fn older_registration_is_not_taken_from_a_later_listing_of_the_era() {
+    let draining = entry("t1", TargetState::Draining, 1, 4);
+    for (name, seen) in [("draining", vec![draining.clone()]), ("lost", vec![draining, ready(8)])] {
+        let mut view = View::default();
+        view.apply(at(0), full(50, vec![ready(3)]));
+        for (change, revision) in seen.into_iter().zip(51..) {
+            view.apply(at(1), delta(revision, vec![change]));
+        }
+        view.apply(at(2), in_era(1, full(40, vec![])));
+        view.expire(at(3_000));
+        assert!(usable(&view).is_empty(), "{name}");
+        view.apply(at(3_001), in_era(1, full(41, vec![ready(3)])));
+        assert!(usable(&view).is_empty(), "{name}, listed");
+    }
+}
+
+/// Guards against followers that keep a target that the store lost for good, or remove one that has
+/// registered again: all must see its end, also while the gateway that reads the store keeps it.
+#[test]
+fn end_of_a_target_is_forwarded_in_the_grace_period_of_an_era() {
+    let mut view = View::default();
+    let mut relay = Relay::default();
+    view.apply(at(0), full(50, vec![ready(3)]));
+    let listing = in_era(1, full(40, vec![ready(3)]));
+    let mut forwarded = Vec::new();
+    let updates = [
+        (100, listing),
+        (200, in_era(1, delta(41, vec![]))),
+        (300, in_era(1, delta(42, vec![gone()]))),
+        (400, in_era(1, delta(43, vec![gone(), ready(4)]))),
+    ];
+    for (ms, update) in updates {
+        let applied = view.apply(at(ms), update.clone());
+        forwarded.push(relay.changes_to_forward(&view, &update, &applied));
+        assert_eq!(usable(&view), ["t1"], "after {ms} ms");
+    }
+    assert_eq!(forwarded[2..], [vec![gone()], vec![gone(), ready(4)]]);
+}
+
 #[test]
 fn what_the_copy_lacks_is_kept_for_its_time() {
     let mut view = View::default();
