merge: organisations, quotas and connection reuse

Conflicts with the eras of the store, resolved so that both sides keep their meaning:

- feeder: `set_fresh_at` follows the publication of the view as on `work`, and the return before a known state uses `Position::is_known`.
An update that `View::accepts` drops is not published, so it does not make the view fresh for the check of API keys either.
- fleet, shared and the test list: both lists of modules and imports.

--- a/ibiscroft-core/src/fleet.rs
+++ b/ibiscroft-core/src/fleet.rs
@@ -9,6 +9,7 @@
 mod change;
 mod cold_target_limiter;
 mod configuration;
+mod connection_reuse;
 mod departed_targets;
 mod fleet_size;
 mod health;
@@ -16,8 +17,10 @@
 mod hold;
 mod leaving_targets;
 mod organisation;
+mod priority;
 mod probe;
 mod probe_budget;
+mod quota;
 mod relay;
 mod resting_targets;
 mod retry_after;
@@ -36,14 +39,20 @@
 pub use change::{Change, Era, Position, Revision, Update};
 pub use cold_target_limiter::{ColdTargetLimiter, ColdTargetQuota};
 pub use configuration::{CallerLimits, Configuration, ServicePolicy};
+pub use connection_reuse::{new_connections, probe_order};
 pub use fleet_size::{FleetSize, FleetSizeDebounce};
 pub use health::{AttemptOutcome, TargetHealth};
 pub use hint::{FollowerMessage, Hint};
 pub use hold::Hold;
 pub use leaving_targets::{Departure, LeavingTargets};
 pub use organisation::{KeyDigest, OrganisationPolicy, Organisations, Quota};
+pub use priority::{Rank, RecentRanks, Standing};
 pub use probe::{MAX_PROBE_ROUNDS, ProbeDecision, ProbeReport, ProbeSelection};
 pub use probe_budget::ProbeBudget;
+pub use quota::{
+    Demand, LimitedOrganisation, QuotaDecision, QuotaGate, QuotaLedger, QuotaNotice, QuotaReport,
+    QuotaStatus, QuotaTolerance,
+};
 pub use relay::Relay;
 pub use resting_targets::{MAX_REST, RestingTargets};
 pub use retry_after::{ExpectedCapacity, retry_after_rest};
--- a/ibiscroft-core/tests/it/fleet.rs
+++ b/ibiscroft-core/tests/it/fleet.rs
@@ -1,12 +1,16 @@
 //! Tests of `fleet`.
 
 mod budgets;
+mod connection_reuse;
 mod era;
 mod feed;
 mod herds;
 mod holding;
 mod leaving;
+mod organisations;
+mod priority;
 mod probing;
+mod quota;
 mod refusals;
 mod resting;
 mod routes;
--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -87,6 +87,7 @@
                 let revision = self.view.position();
                 event!(SourceChanged, "source={} revision={revision}", source_name(&source));
             }
+            self.shared.quotas.set_root(source == Source::Store);
             match &source {
                 Source::Store => {
                     self.read_store().await;
@@ -143,7 +144,7 @@
         let mut monitor = SourceMonitor::new(connected_at);
         let mut pending_read = None;
         let mut sent_count = GatewayCount(0);
-        let mut hints = self.hub.subscribe_source_hints();
+        let mut messages = self.hub.subscribe_to_source();
         let lasting_hints = self.shared.traffic().lasting_hints();
         for hint in lasting_hints {
             if let Err(error) = mesh::send_encoded(&mut stream, &FollowerMessage::Hint(hint)).await
@@ -183,10 +184,9 @@
                     }
                     continue;
                 }
-                Ok(hint) = hints.recv() => {
-                    let message = FollowerMessage::Hint(hint);
+                Ok(message) = messages.recv() => {
                     if let Err(error) = mesh::send_encoded(&mut stream, &message).await {
-                        return FollowEnd::Failed(format!("send hint: {error:#}"));
+                        return FollowEnd::Failed(format!("send hint or report: {error:#}"));
                     }
                     continue;
                 }
@@ -283,6 +283,11 @@
         let now = self.shared.clock.now();
         let mut forwarded = Vec::new();
         for hint in hints {
+            if let Hint::Quota(notice) = &hint {
+                self.shared.quotas.on_notice(&self.shared, notice);
+                forwarded.push(hint);
+                continue;
+            }
             if self.shared.traffic().on_hint(now, &hint) {
                 event!(HintTaken, "source=peer {hint:?}");
                 forwarded.push(hint);
@@ -335,8 +340,10 @@
             if let Some(configuration) = self.view.configuration() {
                 self.shared.has_configuration.send_replace(true);
                 self.shared.traffic().retain_routes(configuration.routes());
+                self.shared.quotas.configure(configuration);
             }
         }
+        self.shared.set_fresh_at(self.source_selector.fresh_at());
         if !position.is_known() {
             // The view comes from a stale listing and is of no use to followers.
             return;
--- a/ibiscroft-edge/src/lib.rs
+++ b/ibiscroft-edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod membership;
 mod mesh;
 mod metrics;
+mod quotas;
 mod registry;
 mod reply;
 mod server;
@@ -35,7 +36,9 @@
 pub mod events;
 
 pub use daemon::run;
-pub use dialect::{Dialect, ProbeResponse, Refusal, RequestMetadata, ResponseMetadata, TargetWish};
+pub use dialect::{
+    Credential, Dialect, ProbeResponse, Refusal, RequestMetadata, ResponseMetadata, TargetWish,
+};
 pub use log_sink::start_log_writer;
 pub use registry::{Lease, ListingSample, Registry, RegistryError};
-pub use settings::{RetryBudgetSettings, Settings};
+pub use settings::{QuotaSettings, RetryBudgetSettings, Settings};
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by the control thread and the traffic thread.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -9,8 +9,9 @@
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::{
     AttemptOutcome, ColdTargetLimiter, Departure, FleetSize, GatewayCount, Hint, LeavingTargets,
-    MAX_REST, ProbeBudget, ProbeReport, RestingTargets, RetryLimits, RetryWindow, Route,
-    SaturationSlowdown, StopSchedule, Target, TargetHealth, TrafficSplit, View,
+    MAX_REST, ProbeBudget, ProbeReport, Rank, RecentRanks, RestingTargets, RetryLimits,
+    RetryWindow, Route, SaturationSlowdown, Standing, StopSchedule, Target, TargetHealth,
+    TrafficSplit, View,
 };
 use ibiscroft_core::ids::{ServiceName, TargetName};
 use tokio::sync::{mpsc, watch};
@@ -19,7 +20,9 @@
 use crate::connection_pool::ConnectionPool;
 use crate::dialect::TargetWish;
 use crate::events::event;
+use crate::exchange::Exchange;
 use crate::metrics::Metrics;
+use crate::quotas::Quotas;
 use crate::settings::Settings;
 use crate::suspects::Suspects;
 
@@ -32,6 +35,8 @@
 /// Time after the start of the process until which requests wait for the first configuration;
 /// several times the duration of a listing on a slow link.
 const FIRST_CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(600);
+/// Name of the feature that makes the gateway prefer targets to which a connection is open.
+const POOL_FEATURE: &str = "pool";
 /// Weight of the newest sample in the moving average of the baseline latency.
 const BASELINE_SAMPLE_WEIGHT: f64 = 0.1;
 
@@ -44,10 +49,14 @@
     pub(crate) clock: Clock,
     /// The current view of the fleet, published by the control thread.
     pub(crate) view: ArcSwap<View>,
+    /// Quotas of organisations.
+    pub(crate) quotas: Quotas,
     /// Metrics.
     pub(crate) metrics: Metrics,
     /// Idle connections to targets.
     pub(crate) pool: ConnectionPool,
+    /// Whether targets to which a connection is open are preferred.
+    pub(crate) reuses_connections: bool,
     /// Queue of hints for the other gateways, from the traffic thread to the control thread.
     pub(crate) hints: mpsc::Sender<Hint>,
     /// Set once a graceful shutdown has begun.
@@ -56,6 +65,9 @@
     is_wait_over: watch::Sender<bool>,
     /// Set once the view has matched the current state of the store.
     pub(crate) has_been_current: AtomicBool,
+    /// Latest instant at which the published view was known to match the store, in microseconds of
+    /// the clock; 0 if it never was.
+    fresh_at_us: AtomicU64,
     /// Becomes true once the view holds a configuration.
     pub(crate) has_configuration: watch::Sender<bool>,
     traffic: Mutex<TrafficState>,
@@ -97,6 +109,8 @@
     /// Baseline latency of each class, in seconds.
     baselines: HashMap<LatencyClass, f64>,
     slowdowns: HashMap<ServiceName, SaturationSlowdown>,
+    /// Priorities of the recent requests of each service.
+    ranks: HashMap<ServiceName, RecentRanks>,
 }
 
 impl TrafficState {
@@ -146,6 +160,8 @@
                 true
             }
             Hint::Leaving(departure) => self.leaving.note(now, departure),
+            // Notices concern `Quotas`, and only those of the source are taken.
+            Hint::Quota(_) => false,
         }
     }
 
@@ -214,6 +230,8 @@
         hints: mpsc::Sender<Hint>,
     ) -> Result<Arc<Self>, prometheus::Error> {
         Ok(Arc::new(Self {
+            reuses_connections: settings.has_feature(POOL_FEATURE),
+            quotas: Quotas::new(settings.quota.unwrap_or_default()),
             settings,
             clock: Clock::start(),
             view: ArcSwap::from_pointee(View::default()),
@@ -223,6 +241,7 @@
             stop: OnceLock::new(),
             is_wait_over: watch::Sender::new(false),
             has_been_current: AtomicBool::new(false),
+            fresh_at_us: AtomicU64::new(0),
             has_configuration: watch::Sender::new(false),
             traffic: Mutex::default(),
         }))
@@ -257,6 +276,30 @@
         }
     }
 
+    /// Records the latest instant at which the view, as published last, was known to match the
+    /// store.
+    pub(crate) fn set_fresh_at(&self, fresh_at: Tick) {
+        self.fresh_at_us.store(fresh_at.as_micros(), Ordering::Release);
+    }
+
+    /// Returns the time since the view was last known to match the store; the longest duration if
+    /// it never was.
+    ///
+    /// A view that is loaded after this call contains all changes that the store held at that time.
+    pub(crate) fn staleness(&self) -> Duration {
+        match Tick::from_micros(self.fresh_at_us.load(Ordering::Acquire)) {
+            Tick::ZERO => Duration::MAX,
+            fresh_at => self.clock.now().since(fresh_at),
+        }
+    }
+
+    /// Records the priority of a request and returns how it compares with others of its service.
+    pub(crate) fn note_rank(&self, ex: &Exchange) -> Standing {
+        let rank = Rank { organisation: ex.priority, route: ex.route.priority };
+        let mut traffic = self.traffic();
+        traffic.ranks.entry(ex.service.clone()).or_default().note(self.clock.now(), rank)
+    }
+
     /// Returns the limits of the fleet's retry budget.
     pub(crate) fn retry_limits(&self) -> RetryLimits {
         let budget = self.settings.retry_budget;
