--- a/ibiscroft-core/src/fleet.rs
+++ b/ibiscroft-core/src/fleet.rs
@@ -11,6 +11,7 @@
 mod configuration;
 pub mod configuration_check;
 mod connection_reuse;
+mod departed_targets;
 mod fleet_size;
 mod health;
 mod hint;
@@ -36,7 +37,7 @@
 mod update_history;
 mod view;
 
-pub use change::{Change, Revision, Update};
+pub use change::{Change, Era, Position, Revision, Update};
 pub use cold_target_limiter::{ColdTargetLimiter, ColdTargetQuota};
 pub use configuration::{CallerLimits, Configuration, ServicePolicy};
 pub use connection_reuse::{new_connections, probe_order};
--- a/ibiscroft-core/tests/it/fleet.rs
+++ b/ibiscroft-core/tests/it/fleet.rs
@@ -3,6 +3,7 @@
 mod budgets;
 mod configuration_check;
 mod connection_reuse;
+mod era;
 mod feed;
 mod herds;
 mod holding;
--- a/ibiscroft-edge/src/quotas.rs
+++ b/ibiscroft-edge/src/quotas.rs
@@ -224,7 +224,7 @@
         let notice = ledger.notice(now)?;
         shared.quotas.gate().on_notice(now, &notice);
         shared.quotas.noticed.notify_waiters();
-        self.hub.send_hints_to_followers(view.revision(), vec![Hint::Quota(notice)], now);
+        self.hub.send_hints_to_followers(view.position(), vec![Hint::Quota(notice)], now);
         Some(report)
     }
 }
