--- a/ibiscroft-core/src/fleet/quota/collector.rs
+++ b/ibiscroft-core/src/fleet/quota/collector.rs
@@ -55,6 +55,13 @@
         self.is_urgent |= f64::from(tally.demand.offered) >= 2.0 * expected + MIN_UNEXPECTED;
     }
 
+    /// Takes back a request of this gateway that was not admitted.
+    pub(super) fn retract_offered(&mut self, organisation: &OrganisationName) {
+        if let Some(tally) = self.tallies.get_mut(organisation) {
+            tally.demand.offered = tally.demand.offered.saturating_sub(1);
+        }
+    }
+
     /// Records that an admitted request has not been executed.
     pub(super) fn credit(&mut self, now: Tick, organisation: &OrganisationName) {
         if let Some(tally) = self.tallies.get_mut(organisation) {
--- a/ibiscroft-core/src/fleet/quota/gate.rs
+++ b/ibiscroft-core/src/fleet/quota/gate.rs
@@ -274,6 +274,14 @@
         decision
     }
 
+    /// Takes back the count of a rejected request that is decided about once more.
+    pub fn retract_offered(&mut self, organisation: &OrganisationName) {
+        if let Some(entry) = self.entries.get_mut(organisation) {
+            entry.offered = entry.offered.saturating_sub(1);
+            self.collector.retract_offered(organisation);
+        }
+    }
+
     /// Credits an admitted request that no target has executed.
     pub fn give_back(&mut self, now: Tick, organisation: &OrganisationName) {
         if let Some(entry) = self.entries.get_mut(organisation) {
--- a/ibiscroft-edge/src/filters/quota.rs
+++ b/ibiscroft-edge/src/filters/quota.rs
@@ -39,6 +39,7 @@
         let decision = quotas.admit(&self.shared, organisation);
         let is_unknown = matches!(decision, QuotaDecision::Unknown { .. });
         if is_unknown && quotas.wait_for_notice(wait).await {
+            quotas.retract_offered(organisation);
             return quotas.admit(&self.shared, organisation);
         }
         decision
--- a/ibiscroft-edge/src/quotas.rs
+++ b/ibiscroft-edge/src/quotas.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::{
     Configuration, FollowerMessage, GatewayCount, Hint, QuotaDecision, QuotaGate, QuotaLedger,
     QuotaNotice, QuotaReport, QuotaTolerance,
@@ -21,6 +22,10 @@
 /// Interval at which reports and notices are checked for being due; the minimum time between two.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Longest time for which a gateway that no longer reads the store keeps its ledger while its new
+/// source sends no notice; a source that does not respond is given up before.
+const MAX_HANDOVER: Duration = Duration::from_millis(1_500);
+
 /// Quotas at this gateway.
 #[derive(Debug)]
 pub(crate) struct Quotas {
@@ -85,6 +90,11 @@
         decision
     }
 
+    /// Takes back the count of a request that is decided about once more.
+    pub(crate) fn retract_offered(&self, organisation: &OrganisationName) {
+        self.gate().retract_offered(organisation);
+    }
+
     /// Credits an admitted request that no target has run.
     pub(crate) fn give_back(&self, shared: &Shared, organisation: &OrganisationName) {
         self.gate().give_back(shared.clock.now(), organisation);
@@ -150,12 +160,20 @@
     /// Version of the configuration that the ledger has.
     version: Option<Generation>,
     was_connected: bool,
+    /// When this gateway last read the store.
+    was_root_at: Tick,
 }
 
 /// Sends reports to the source or, while this gateway reads the store, notices to all followers.
 pub(crate) async fn exchange(shared: Arc<Shared>, hub: FeedHub) {
-    let mut exchanger =
-        Exchanger { shared, hub, ledger: None, version: None, was_connected: false };
+    let mut exchanger = Exchanger {
+        shared,
+        hub,
+        ledger: None,
+        version: None,
+        was_connected: false,
+        was_root_at: Tick::ZERO,
+    };
     let mut timer = tokio::time::interval(TICK);
     // After a pause the missed ticks would find nothing to send.
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -177,8 +195,9 @@
         }
         if quotas.is_root.load(Ordering::Relaxed) {
             quotas.has_source_notice.store(false, Ordering::Relaxed);
+            self.was_root_at = shared.clock.now();
             self.step_root();
-        } else if self.ledger.is_some() && !quotas.has_source_notice.load(Ordering::Relaxed) {
+        } else if self.is_handing_over() {
             // The new source may be cut off itself. Until it is in charge, the followers of this
             // gateway have no other root.
             if let Some(report) = self.step_root() {
@@ -204,6 +223,14 @@
         }
     }
 
+    /// Returns whether this gateway read the store until recently and its new source has sent no
+    /// notice yet.
+    fn is_handing_over(&self) -> bool {
+        let is_recent = self.shared.clock.now().since(self.was_root_at) < MAX_HANDOVER;
+        let has_notice = self.shared.quotas.has_source_notice.load(Ordering::Relaxed);
+        self.ledger.is_some() && is_recent && !has_notice
+    }
+
     /// Adds the demand of this gateway and its followers to the ledger, and sends a notice if one is
     /// due; returns the demand if a notice was sent.
     fn step_root(&mut self) -> Option<QuotaReport> {
