feat(core): account of the bytes that callers make a gateway keep

Change: ByteAccount, a sans-IO state machine with a share for short bodies and responses and one for long bodies, waiting in order of arrival, holders of bytes first, and an end to the holder that stalls while others wait.

Found by its property tests: a reservation behind a waiting holder that is ended must be granted at that moment (end_stalled returns it), and a holder of the small share that waits for the bulk share must not be ended for it; a body of declared length that is longer than a segment therefore reserves all its bytes in the bulk share before the first read.

--- a/ibiscroft-core/src/fleet.rs
+++ b/ibiscroft-core/src/fleet.rs
@@ -6,6 +6,7 @@
 //! which service it goes to, which targets are probed and selected, and whether another attempt is
 //! within the retry budget.
 
+mod byte_account;
 mod change;
 mod cold_target_limiter;
 mod configuration;
@@ -32,6 +33,7 @@
 mod update_history;
 mod view;
 
+pub use byte_account::{ByteAccount, ByteShare, HolderId, Reservation, STALL_TIME};
 pub use change::{Change, Revision, Update};
 pub use cold_target_limiter::{ColdTargetLimiter, ColdTargetQuota};
 pub use configuration::{CallerLimits, Configuration, ServicePolicy};
--- a/ibiscroft-core/tests/it/fleet.rs
+++ b/ibiscroft-core/tests/it/fleet.rs
@@ -1,6 +1,7 @@
 //! Tests of `fleet`.
 
 mod budgets;
+mod byte_account;
 mod feed;
 mod herds;
 mod holding;
