feat(listener): bounds on connections, request heads and unsent bytes

Cause: poem exposes none of hyper's limits. A request head could have 417,792 bytes on each connection and never end, the number of connections was not limited, and hyper copied up to 417,792 bytes of responses for a caller that did not read them (poem hides vectored writes, so a response is always copied; an attempt with vectored writes in the listener changed nothing).

Change: a connection knows whether a handler runs. Between requests its bytes count toward the limit of a head; a head that is too long gets 431, a late one 408, as far as the kernel takes it. Reads between requests pause while the kernel takes no bytes. With a limit of the head HTTP/2 is refused (505), as it has no such head. At the maximum of open connections the one that has been unused for the longest time is closed. A read takes at most 16 KiB, which limits hyper's buffer to 32 KiB. A failed accept is followed by a pause.

No bound is set unless the daemon sets it.

--- a/ibiscroft-listener/src/acceptor.rs
+++ b/ibiscroft-listener/src/acceptor.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use http::uri::Scheme;
 use poem::listener::Acceptor;
@@ -16,6 +17,11 @@
 use crate::connection::Connection;
 use crate::connections::ConnectionRegistry;
 
+/// Pause after a failed accept, which fails again at once while no descriptor is free.
+const ACCEPT_ERROR_PAUSE: Duration = Duration::from_millis(10);
+/// Maximum number of turns of the runtime that an accepted connection waits for its place.
+const MAX_PLACE_TURNS: usize = 100;
+
 /// Accepts connections, sets `TCP_NODELAY` on them and registers them.
 #[derive(Debug)]
 pub struct ConnectionAcceptor {
@@ -36,6 +42,27 @@
     }
 }
 
+impl ConnectionAcceptor {
+    /// Closes the connection that has been unused for the longest time if there is no place for
+    /// another one; returns whether there is one then.
+    async fn make_place(&self) -> bool {
+        let connections = &self.connections;
+        if connections.open_count() < connections.bounds().max_open() {
+            return true;
+        }
+        if !connections.close_longest_unused() {
+            return false;
+        }
+        for _ in 0..MAX_PLACE_TURNS {
+            tokio::task::yield_now().await;
+            if connections.open_count() < connections.bounds().max_open() {
+                return true;
+            }
+        }
+        false
+    }
+}
+
 impl Acceptor for ConnectionAcceptor {
     type Io = ConnectionStream;
 
@@ -44,9 +71,16 @@
     }
 
     async fn accept(&mut self) -> io::Result<(ConnectionStream, LocalAddr, RemoteAddr, Scheme)> {
-        let (stream, peer) = self.listener.accept().await?;
+        let (stream, peer) = loop {
+            match self.listener.accept().await {
+                Ok(accepted) if self.make_place().await => break accepted,
+                Ok(_) => self.connections.bounds().count_refused(),
+                Err(_) => tokio::time::sleep(ACCEPT_ERROR_PAUSE).await,
+            }
+        };
         stream.set_nodelay(true)?;
-        let connection = Arc::new(Connection::new(stream));
+        let bounds = Arc::clone(self.connections.bounds());
+        let connection = Arc::new(Connection::new(stream, bounds));
         self.connections.insert(peer, Arc::clone(&connection));
         let connections = Arc::clone(&self.connections);
         let io = ConnectionStream { connection, peer, connections };
--- /dev/null
+++ b/ibiscroft-listener/src/bounds.rs
@@ -0,0 +1,77 @@
+//! Bounds on what callers can occupy before a handler runs.
+
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+
+/// Bounds of a listener, which can be changed while it accepts connections.
+#[derive(Debug)]
+pub struct ConnectionBounds {
+    max_open: AtomicUsize,
+    max_head_bytes: AtomicUsize,
+    evicted: AtomicU64,
+    refused: AtomicU64,
+    refused_heads: AtomicU64,
+}
+
+impl Default for ConnectionBounds {
+    fn default() -> Self {
+        Self {
+            max_open: AtomicUsize::new(usize::MAX),
+            max_head_bytes: AtomicUsize::new(usize::MAX),
+            evicted: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
+            refused_heads: AtomicU64::new(0),
+        }
+    }
+}
+
+impl ConnectionBounds {
+    /// Sets the maximum number of open connections; at first there is none.
+    pub fn set_max_open(&self, count: usize) {
+        self.max_open.store(count, Ordering::Relaxed);
+    }
+
+    /// Sets the maximum size of a request head, empty lines before it included, in bytes; at first
+    /// there is none. With a maximum, HTTP/2 is not accepted, as its frames have no such head.
+    pub fn set_max_head_bytes(&self, bytes: usize) {
+        self.max_head_bytes.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Returns the number of connections closed to make a place available for another one.
+    #[must_use]
+    pub fn evicted_count(&self) -> u64 {
+        self.evicted.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of connections closed right after they were accepted, as no place could
+    /// be made available.
+    #[must_use]
+    pub fn refused_count(&self) -> u64 {
+        self.refused.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of request heads that were too long or late.
+    #[must_use]
+    pub fn refused_head_count(&self) -> u64 {
+        self.refused_heads.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn max_open(&self) -> usize {
+        self.max_open.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn max_head_bytes(&self) -> usize {
+        self.max_head_bytes.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn count_evicted(&self) {
+        self.evicted.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_refused(&self) {
+        self.refused.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_refused_head(&self) {
+        self.refused_heads.fetch_add(1, Ordering::Relaxed);
+    }
+}
--- a/ibiscroft-listener/src/connection.rs
+++ b/ibiscroft-listener/src/connection.rs
@@ -2,9 +2,9 @@
 
 use std::io;
 use std::net::Shutdown;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker, ready};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Buf, BytesMut};
 use socket2::SockRef;
@@ -12,10 +12,25 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 
+use crate::activity::{Activity, Phase};
+use crate::bounds::ConnectionBounds;
+
 /// Maximum number of bytes that are received while a handler runs, to notice the close behind them.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
 /// Number of bytes received at once while a handler runs.
 const READ_AHEAD_CHUNK_BYTES: usize = 4 << 10;
+/// Maximum number of bytes that the server receives at once; it allocates a multiple of what it
+/// received before.
+const MAX_READ_BYTES: usize = 16 << 10;
+/// Response to a request head that is too long.
+const HEAD_TOO_LONG: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
+    Connection: close\r\nContent-Length: 0\r\n\r\n";
+/// Response to a request head that is late.
+const HEAD_LATE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+/// Response to HTTP/2, which is not accepted.
+const HTTP2_REFUSED: &[u8] = b"HTTP/1.1 505 HTTP Version Not Supported\r\n\
+    Connection: close\r\nContent-Length: 0\r\n\r\n";
 /// Time for which bytes of the caller are discarded after this side has closed.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of bytes that are discarded after this side has closed.
@@ -29,6 +44,18 @@
     read_ahead: Mutex<ReadAhead>,
     /// Notified when the server takes bytes out of a full `read_ahead`.
     drained: Notify,
+    activity: Mutex<Activity>,
+    bounds: Arc<ConnectionBounds>,
+}
+
+/// Marks that a handler processes a request of a connection, until dropped.
+#[derive(Debug)]
+pub struct RequestGuard(Arc<Connection>);
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.0.lock_activity().begin(Phase::Idle);
+    }
 }
 
 /// Bytes received while a handler runs, such as further requests of a caller that does not wait for
@@ -49,12 +76,56 @@
 }
 
 impl Connection {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream, bounds: Arc<ConnectionBounds>) -> Self {
         Self {
             stream,
             ended: watch::Sender::new(false),
             read_ahead: Mutex::default(),
             drained: Notify::new(),
+            activity: Mutex::new(Activity::new()),
+            bounds,
+        }
+    }
+
+    /// Records that a handler processes a request, until the guard is dropped.
+    ///
+    /// Between two requests, what the caller sends counts toward the limit of a request head.
+    #[must_use]
+    pub fn begin_request(self: &Arc<Self>) -> RequestGuard {
+        self.lock_activity().begin(Phase::Handling);
+        RequestGuard(Arc::clone(self))
+    }
+
+    /// Returns since when no handler has processed a request and the caller has neither completed
+    /// a request head nor received bytes; `None` while a handler runs or after the end.
+    pub(crate) fn unused_since(&self) -> Option<Instant> {
+        let activity = self.lock_activity();
+        let is_unused = activity.phase != Phase::Handling && !self.has_ended();
+        is_unused.then_some(activity.since)
+    }
+
+    /// Closes the connection if a request head has not arrived completely within `timeout`.
+    pub(crate) fn refuse_late_head(&self, timeout: Duration) {
+        let mut activity = self.lock_activity();
+        let is_late = activity.phase == Phase::Head && activity.since.elapsed() > timeout;
+        if !is_late || activity.is_refused {
+            return;
+        }
+        self.refuse(&mut activity, HEAD_LATE);
+        drop(activity);
+        if let Some(waker) = self.lock_read_ahead().waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Sends a response in place of the server, as far as the kernel takes it, and ends what the
+    /// server reads, so that it closes the connection.
+    fn refuse(&self, activity: &mut Activity, response: &[u8]) {
+        activity.is_refused = true;
+        self.bounds.count_refused_head();
+        if !activity.is_write_blocked {
+            // The connection is closed whether or not the caller receives this.
+            let _ = self.stream.try_write(response);
         }
     }
 
@@ -130,14 +201,22 @@
             if self.has_ended() {
                 return Poll::Ready(Ok(()));
             }
-            if self.take_read_ahead(cx, buf) {
+            let max_bytes = ready!(self.poll_max_read(cx));
+            if max_bytes == 0 {
+                return Poll::Ready(Ok(()));
+            }
+            let filled = buf.filled().len();
+            if self.take_read_ahead(cx, buf, max_bytes) {
+                self.note_received(&buf.filled()[filled..]);
                 return Poll::Ready(Ok(()));
             }
             ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(buf.initialize_unfilled()) {
+            let max_bytes = max_bytes.min(buf.remaining());
+            match self.stream.try_read(buf.initialize_unfilled_to(max_bytes)) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
                 Ok(count) if count > 0 => {
                     buf.advance(count);
+                    self.note_received(&buf.filled()[filled..]);
                     return Poll::Ready(Ok(()));
                 }
                 read => {
@@ -148,11 +227,45 @@
         }
     }
 
-    /// Takes bytes that were received ahead; returns whether there were any. If not, the task of
+    /// Returns how many bytes the server may receive now; 0 if it is to close the connection.
+    ///
+    /// Between requests, reads pause while the kernel takes no more bytes of earlier responses, so
+    /// that they do not accumulate for a caller that does not read them.
+    fn poll_max_read(&self, cx: &Context<'_>) -> Poll<usize> {
+        let mut activity = self.lock_activity();
+        if activity.is_refused {
+            return Poll::Ready(0);
+        }
+        if activity.phase == Phase::Handling {
+            return Poll::Ready(MAX_READ_BYTES);
+        }
+        if activity.is_write_blocked {
+            activity.paused_reader = Some(cx.waker().clone());
+            // The end of the request head's time wakes this one.
+            self.lock_read_ahead().waker = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
+        let left = self.bounds.max_head_bytes().saturating_sub(activity.head_bytes);
+        if left == 0 {
+            self.refuse(&mut activity, HEAD_TOO_LONG);
+        }
+        Poll::Ready(left.min(MAX_READ_BYTES))
+    }
+
+    /// Records bytes that the server received.
+    fn note_received(&self, bytes: &[u8]) {
+        let mut activity = self.lock_activity();
+        let is_http2 = activity.note_received(bytes);
+        if is_http2 && self.bounds.max_head_bytes() < usize::MAX && !activity.is_refused {
+            self.refuse(&mut activity, HTTP2_REFUSED);
+        }
+    }
+
+    /// Takes at most `max_bytes` that were received ahead; returns whether there were any. If not, the task of
     /// `cx` is woken when some are.
-    fn take_read_ahead(&self, cx: &Context<'_>, buf: &mut ReadBuf<'_>) -> bool {
+    fn take_read_ahead(&self, cx: &Context<'_>, buf: &mut ReadBuf<'_>, max_bytes: usize) -> bool {
         let mut read_ahead = self.lock_read_ahead();
-        let count = read_ahead.buf.len().min(buf.remaining());
+        let count = read_ahead.buf.len().min(buf.remaining()).min(max_bytes);
         if count == 0 {
             read_ahead.waker = Some(cx.waker().clone());
             return false;
@@ -165,6 +278,16 @@
 
     /// Sends bytes of the server.
     pub(crate) fn poll_write(&self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = self.poll_write_some(cx, buf);
+        let mut activity = self.lock_activity();
+        activity.note_write(written.is_pending());
+        if let Poll::Ready(Ok(count)) = written {
+            activity.sent.add(count);
+        }
+        written
+    }
+
+    fn poll_write_some(&self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.stream.poll_write_ready(cx))?;
             match self.stream.try_write(buf) {
@@ -174,6 +297,16 @@
         }
     }
 
+    /// Returns the number of bytes that the kernel has taken for the caller.
+    pub(crate) fn sent_bytes(&self) -> u64 {
+        self.lock_activity().sent.count()
+    }
+
+    /// Waits until `is_ready` is true for the number of bytes that the kernel has taken.
+    pub(crate) fn poll_sent(&self, cx: &Context<'_>, is_ready: impl Fn(u64) -> bool) -> Poll<()> {
+        self.lock_activity().sent.poll(cx, is_ready)
+    }
+
     /// Records that nothing more can be read, which completes [`Self::ended`].
     pub(crate) fn mark_ended(&self) {
         self.ended.send_replace(true);
@@ -205,6 +338,10 @@
         let _ = tokio::time::timeout(LINGER_TIMEOUT, discard).await;
     }
 
+    fn lock_activity(&self) -> MutexGuard<'_, Activity> {
+        self.activity.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_read_ahead(&self) -> MutexGuard<'_, ReadAhead> {
         self.read_ahead.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/ibiscroft-listener/src/connections.rs
+++ b/ibiscroft-listener/src/connections.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
 
 use poem::Request;
 
+use crate::bounds::ConnectionBounds;
 use crate::connection::Connection;
 
 /// Registry of the open connections of a listener.
@@ -15,6 +17,7 @@
     open: RwLock<HashMap<SocketAddr, Arc<Connection>>>,
     accepted: AtomicU64,
     peak: AtomicUsize,
+    bounds: Arc<ConnectionBounds>,
 }
 
 impl ConnectionRegistry {
@@ -26,6 +29,33 @@
         open.get(peer).cloned()
     }
 
+    /// Returns the bounds on the connections.
+    #[must_use]
+    pub fn bounds(&self) -> &Arc<ConnectionBounds> {
+        &self.bounds
+    }
+
+    /// Closes the connections whose request head has not arrived completely within `timeout`.
+    pub fn refuse_late_heads(&self, timeout: Duration) {
+        let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
+        for connection in open.values() {
+            connection.refuse_late_head(timeout);
+        }
+    }
+
+    /// Closes the connection that has been idle or incomplete for the longest time; returns whether
+    /// there is one.
+    pub(crate) fn close_longest_unused(&self) -> bool {
+        let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
+        let unused = open.values().filter_map(|open| Some((open.unused_since()?, open)));
+        let Some((_, connection)) = unused.min_by_key(|(since, _)| *since) else {
+            return false;
+        };
+        connection.close();
+        self.bounds.count_evicted();
+        true
+    }
+
     /// Closes all open connections.
     pub fn close_all(&self) {
         let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
--- a/ibiscroft-listener/src/lib.rs
+++ b/ibiscroft-listener/src/lib.rs
@@ -6,11 +6,16 @@
 //! disconnects, and with [`close_on_error`] a body that fails closes the connection.
 
 mod acceptor;
+mod activity;
 mod body;
+mod bounds;
 mod connection;
 mod connections;
+mod send_window;
 
 pub use acceptor::{ConnectionAcceptor, ConnectionStream};
 pub use body::close_on_error;
-pub use connection::Connection;
+pub use bounds::ConnectionBounds;
+pub use connection::{Connection, RequestGuard};
 pub use connections::ConnectionRegistry;
+pub use send_window::SendWindow;
