feat(edge): bounds on the memory and descriptors that callers use

Cause: bodies were read whole into a buffer that doubles, without a bound on their sum; responses were buffered and copied for callers that do not read them; connections, and the requests in flight with their connections to targets, were not limited.

Change: settings memory_mb and max_fds (optional). Bodies are kept in segments of at most 32 KiB, reserved in a ByteAccount of half of memory_mb, and sent to targets from these; the fingerprint hashes the same bytes with the same result. A body not there at the deadline of its request gets 408 (before: 400 after 10 s); a holder that stalls for 2 s while others wait gets 503 or its connection is closed. A response for which no memory is free is streamed. A caller that does not read a streamed response is closed 2 s after the time at which the response is cut off. Connections of callers, idle connections to targets and requests in flight share max_fds - 200.

--- a/ibiscroft-core/src/fleet/byte_account.rs
+++ b/ibiscroft-core/src/fleet/byte_account.rs
@@ -110,6 +110,8 @@
     small_held: u64,
     bulk_held: u64,
     last_id: u64,
+    /// Whether bytes of the small share were denied since the last look for a stalled holder.
+    is_small_denied: bool,
     holders: BTreeMap<HolderId, Holder>,
 }
 
@@ -124,6 +126,7 @@
             small_held: 0,
             bulk_held: 0,
             last_id: 0,
+            is_small_denied: false,
             holders: BTreeMap::new(),
         }
     }
@@ -167,6 +170,7 @@
         let has_waiters = self.holders.values().any(|holder| holder.waits_for(share));
         let holder = self.holders.get_mut(&id).filter(|holder| holder.phase != Phase::Ended);
         let Some(holder) = holder.filter(|_| is_free && !has_waiters) else {
+            self.is_small_denied |= share == ByteShare::Small;
             return false;
         };
         holder.add(share, bytes);
@@ -223,8 +227,18 @@
         }
     }
 
+    /// Records that a response is sent to its caller, which can be late again.
+    pub fn note_sending(&mut self, now: Tick, id: HolderId) {
+        let holder = self.holders.get_mut(&id).filter(|holder| holder.phase != Phase::Ended);
+        if let Some(holder) = holder {
+            holder.phase = Phase::Caller;
+            holder.progress = now;
+        }
+    }
+
     /// Ends the holder that has made no progress for the longest time, and for at least
-    /// [`STALL_TIME`], if others wait for bytes of a share of which it holds some. Its bytes are
+    /// [`STALL_TIME`], if others wait for bytes of a share of which it holds some, or were denied
+    /// bytes of the small share since the last call. Its bytes are
     /// released when it is closed.
     ///
     /// Holders whose callers are late go first. If all of them wait for bytes themselves, the last
@@ -235,7 +249,9 @@
     pub fn end_stalled(&mut self, now: Tick) -> Option<(HolderId, Vec<HolderId>)> {
         let id = [ByteShare::Small, ByteShare::Bulk]
             .into_iter()
-            .find_map(|share| self.stalled(now, share))?;
+            .find_map(|share| self.stalled(now, share));
+        self.is_small_denied = false;
+        let id = id?;
         let holder = self.holders.get_mut(&id)?;
         holder.phase = Phase::Ended;
         let waited = holder.waiting.take();
@@ -300,9 +316,12 @@
 
     /// Returns the holder to end so that waiting ones get its bytes of a share.
     fn stalled(&self, now: Tick, share: ByteShare) -> Option<HolderId> {
-        let first = self.first_waiting(share)?;
+        let first = self.first_waiting(share);
+        if first.is_none() && !(share == ByteShare::Small && self.is_small_denied) {
+            return None;
+        }
         let occupying = self.holders.iter().filter(|(id, holder)| {
-            **id != first && holder.phase == Phase::Caller && holder.held(share) > 0
+            Some(**id) != first && holder.phase == Phase::Caller && holder.held(share) > 0
         });
         // A holder that waits for the other share is not late, and gets its bytes there.
         let stalled: Vec<_> = occupying
--- a/ibiscroft-core/src/quarantine/fingerprint.rs
+++ b/ibiscroft-core/src/quarantine/fingerprint.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 use crate::copy_data;
 
@@ -24,6 +24,17 @@
         }
         Self(hash)
     }
+
+    /// Returns the hash with a further part, which is given in segments; their boundaries make no
+    /// difference.
+    #[must_use]
+    pub fn with_segments<T: AsRef<[u8]>>(self, segments: impl IntoIterator<Item = T>) -> Self {
+        let mut hasher = Xxh3::with_seed(self.0);
+        for segment in segments {
+            hasher.update(segment.as_ref());
+        }
+        Self(hasher.digest())
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- /dev/null
+++ b/ibiscroft-edge/src/caller_bounds.rs
@@ -0,0 +1,105 @@
+//! Division of the descriptors of the process, and enforcement of the bounds on callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ibiscroft_listener::ConnectionRegistry;
+use tokio::sync::Semaphore;
+
+use crate::events::event;
+use crate::shared::Shared;
+
+/// Interval at which late request heads and stalled bodies are looked for.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Number of checks between two reports of closed connections.
+const CHECKS_PER_REPORT: u32 = 5;
+/// Descriptors kept for everything but the connections of callers: files, listeners, the store, and
+/// connections to targets on which requests are in flight.
+const RESERVED_DESCRIPTORS: u32 = 200;
+/// Part of the reserve that is not for requests in flight.
+const FIXED_DESCRIPTORS: u32 = 60;
+/// Number of connections to targets that a request uses at the same time, with its probes.
+const DESCRIPTORS_PER_REQUEST: u32 = 3;
+/// Divisor of the descriptors beside the reserve that gives the part of requests in flight.
+const IN_FLIGHT_DIVISOR: u32 = 3;
+/// Smallest number of connections of callers, however small the process or large the fleet.
+const MIN_CALLER_CONNECTIONS: u32 = 16;
+
+/// Returns the number of requests that may use connections to targets at the same time.
+pub(crate) fn request_slots(max_fds: u32) -> Arc<Semaphore> {
+    let shared = max_fds.saturating_sub(RESERVED_DESCRIPTORS) / IN_FLIGHT_DIVISOR;
+    let descriptors = shared + RESERVED_DESCRIPTORS - FIXED_DESCRIPTORS;
+    Arc::new(Semaphore::new((descriptors / DESCRIPTORS_PER_REQUEST) as usize))
+}
+
+/// Returns the maximum number of connections of callers in a fleet with this number of targets and
+/// gateways, each of which may have a connection to this process.
+fn max_caller_connections(max_fds: u32, targets: usize, gateways: usize) -> usize {
+    let left = max_fds.saturating_sub(RESERVED_DESCRIPTORS);
+    let left = left - left / IN_FLIGHT_DIVISOR;
+    (left as usize).saturating_sub(targets + gateways).max(MIN_CALLER_CONNECTIONS as usize)
+}
+
+/// Counts of closed connections so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Closed {
+    evicted: u64,
+    refused: u64,
+    heads: u64,
+    stalled: u64,
+}
+
+/// Enforces the bounds periodically, by the configuration in force.
+pub(crate) async fn enforce(shared: Arc<Shared>, connections: Arc<ConnectionRegistry>) {
+    let mut timer = tokio::time::interval(CHECK_INTERVAL);
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut reported = Closed::default();
+    for check in 0_u32.. {
+        timer.tick().await;
+        let view = shared.view.load_full();
+        if let Some(max_fds) = shared.settings.max_fds {
+            let (targets, gateways) = (view.targets().count(), view.member_count());
+            let max_open = max_caller_connections(max_fds, targets, gateways);
+            connections.bounds().set_max_open(max_open);
+            shared.pool.set_max_idle(targets);
+        }
+        if let Some(configuration) = view.configuration() {
+            connections.bounds().set_max_head_bytes(configuration.limits.header_bytes);
+            connections.refuse_late_heads(configuration.limits.header_timeout);
+        }
+        shared.bytes.end_stalled();
+        let metrics = &shared.metrics;
+        let (bytes, waiting) = shared.bytes.usage();
+        metrics.bytes_held.set(bytes.cast_signed());
+        metrics.bodies_waiting.set(waiting as i64);
+        metrics.caller_connections.set(connections.open_count() as i64);
+        if check.is_multiple_of(CHECKS_PER_REPORT) {
+            report(&shared, &connections, &mut reported);
+        }
+    }
+}
+
+/// Counts and logs the connections that were closed since the last report.
+fn report(shared: &Shared, connections: &ConnectionRegistry, reported: &mut Closed) {
+    let bounds = connections.bounds();
+    let closed = Closed {
+        evicted: bounds.evicted_count(),
+        refused: bounds.refused_count(),
+        heads: bounds.refused_head_count(),
+        stalled: shared.bytes.ended_count(),
+    };
+    if closed == *reported {
+        return;
+    }
+    let evicted = closed.evicted - reported.evicted;
+    let refused = closed.refused - reported.refused;
+    let heads = closed.heads - reported.heads;
+    let stalled = closed.stalled - reported.stalled;
+    let counts =
+        [("evicted", evicted), ("refused", refused), ("head", heads), ("stalled", stalled)];
+    for (reason, count) in counts {
+        shared.metrics.callers_closed.with_label_values(&[reason]).inc_by(count);
+    }
+    event!(CallersClosed, "evicted={evicted} refused={refused} heads={heads} stalled={stalled}");
+    *reported = closed;
+}
--- a/ibiscroft-edge/src/connection.rs
+++ b/ibiscroft-edge/src/connection.rs
@@ -9,9 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, Uri, header};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -21,6 +19,7 @@
 use tokio::time::Instant;
 
 use self::head_limit::{HeadLimit, HeadLimitedStream};
+use crate::segments::OutgoingBody;
 
 /// Time for which sent data may stay unacknowledged before the kernel closes the connection;
 /// several times the retransmission timeout within a region.
@@ -46,7 +45,7 @@
 /// An open connection to a target; dropping it closes the connection.
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<OutgoingBody>,
     head_limit: HeadLimit,
     /// Task that reads from and writes to the socket.
     driver: AbortHandle,
@@ -102,7 +101,7 @@
     /// [`ConnectionError::NotSent`] if it cannot have.
     pub(crate) async fn exchange(
         &mut self,
-        req: Request<Full<Bytes>>,
+        req: Request<OutgoingBody>,
     ) -> Result<Response<Incoming>, ConnectionError> {
         if let Err(error) = self.sender.ready().await {
             return Err(ConnectionError::NotSent(error.to_string()));
@@ -154,10 +153,10 @@
     method: Method,
     path_and_query: &str,
     headers: HeaderMap,
-    body: Bytes,
-) -> Result<Request<Full<Bytes>>, http::Error> {
+    body: impl Into<OutgoingBody>,
+) -> Result<Request<OutgoingBody>, http::Error> {
     let uri: Uri = path_and_query.parse()?;
-    let mut req = Request::builder().method(method).uri(uri).body(Full::new(body))?;
+    let mut req = Request::builder().method(method).uri(uri).body(body.into())?;
     *req.headers_mut() = headers;
     Ok(req)
 }
--- a/ibiscroft-edge/src/connection_pool.rs
+++ b/ibiscroft-edge/src/connection_pool.rs
@@ -1,6 +1,7 @@
 //! Pool of idle connections to targets.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 
 use ibiscroft_core::ids::TargetName;
@@ -14,9 +15,17 @@
 ///
 /// The key is the name and not the address, so that a target that took over the address of another
 /// one never receives requests on the other's connections.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ConnectionPool {
     idle: Mutex<HashMap<TargetName, Vec<TargetConnection>>>,
+    /// Maximum number of idle connections to all targets.
+    max_idle: AtomicUsize,
+}
+
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self { idle: Mutex::default(), max_idle: AtomicUsize::new(usize::MAX) }
+    }
 }
 
 impl ConnectionPool {
@@ -32,6 +41,11 @@
         None
     }
 
+    /// Sets the maximum number of idle connections to all targets, at least that to a single one.
+    pub(crate) fn set_max_idle(&self, count: usize) {
+        self.max_idle.store(count.max(2 * MAX_IDLE_PER_TARGET), Ordering::Relaxed);
+    }
+
     /// Returns a connection to the pool after its last response was read completely.
     ///
     /// The connection is closed if it is no longer usable or the pool holds enough for the target.
@@ -41,6 +55,10 @@
         }
         connection.set_idle();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let count: usize = idle.values().map(Vec::len).sum();
+        if count >= self.max_idle.load(Ordering::Relaxed) {
+            return;
+        }
         let connections = idle.entry(target.clone()).or_default();
         if connections.len() < MAX_IDLE_PER_TARGET {
             connections.push(connection);
--- a/ibiscroft-edge/src/daemon.rs
+++ b/ibiscroft-edge/src/daemon.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+use crate::caller_bounds;
 use crate::dialect::Dialect;
 use crate::events::event;
 use crate::feed_hub::FeedHub;
@@ -100,6 +101,7 @@
     event!(Started, "instance={} callers={}", settings.instance, settings.caller_listen);
 
     let connections = Arc::new(ConnectionRegistry::default());
+    tokio::spawn(caller_bounds::enforce(Arc::clone(&shared), Arc::clone(&connections)));
     let acceptor = ConnectionAcceptor::new(callers, Arc::clone(&connections))?;
     let forward = Forward::<D>::new(Arc::clone(&shared));
     let quarantine = Quarantine::new(Arc::clone(&shared), forward);
--- a/ibiscroft-edge/src/events.rs
+++ b/ibiscroft-edge/src/events.rs
@@ -69,6 +69,7 @@
     TargetUnreachable 6106 Info "A probe of a target failed; the target is excluded for a short backoff.",
     TargetLeaving 6109 Info "A target announced in a response that it is leaving; it receives no further requests.",
     TargetResting 6110 Warn "A target turned a request away and asked for a rest; until it ends this gateway sends it neither requests nor probes.",
+    CallersClosed 6111 Warn "Connections of callers were closed since the last report, at most one a second: unused ones for new ones (evicted), new ones without a place (refused), for request heads that were too long or late (heads), and for bodies and responses that stalled while others waited for memory (stalled).",
     RequestHeld 6108 Info "All probed targets are near saturation or slow; the request is held before others are probed.",
 }
 
--- a/ibiscroft-edge/src/exchange.rs
+++ b/ibiscroft-edge/src/exchange.rs
@@ -1,12 +1,12 @@
 //! One request on its way through the filters.
 
-use bytes::Bytes;
 use http::{HeaderMap, Method};
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::Route;
 use ibiscroft_core::ids::{Generation, RequestId, ServiceName};
 use ibiscroft_core::quarantine::Fingerprint;
 
+use crate::segments::RequestBody;
 use crate::shared::LatencyClass;
 
 /// A request whose body has been read completely and whose route and service are known.
@@ -25,7 +25,7 @@
     /// Header fields to forward, without those that concern only the caller's connection.
     pub(crate) headers: HeaderMap,
     /// Body.
-    pub(crate) body: Bytes,
+    pub(crate) body: RequestBody,
     /// The route that matched host and path.
     pub(crate) route: Route,
     /// Version of the configuration in which the route was found.
--- a/ibiscroft-edge/src/filters/identify.rs
+++ b/ibiscroft-edge/src/filters/identify.rs
@@ -1,16 +1,16 @@
 //! Reads a caller's request and determines its route and service.
 
+mod body;
+
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_util::StreamExt;
 use http::header::{self, HeaderMap, HeaderName};
 use http::uri::Uri;
 use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::Configuration;
 use ibiscroft_core::quarantine::Fingerprint;
 use poem::Request;
 
+use self::body::read_body;
 use crate::dialect::Dialect;
 use crate::exchange::Exchange;
 use crate::reply::{Failure, FailureKind};
@@ -18,8 +18,6 @@
 
 /// Retry time for callers of a daemon that has no configuration yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(200);
-/// Timeout for reading a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Hop-by-hop header fields, which concern a single connection and are not forwarded.
 const HOP_BY_HOP: [HeaderName; 9] = [
@@ -39,7 +37,7 @@
 /// # Errors
 ///
 /// Returns the failure for the caller if there is no configuration, no route matches, the route
-/// names no service, or a header field or the body is malformed or the body too large.
+/// names no service, a header field or the body is malformed, or the body is too large or late.
 pub(crate) async fn identify<D: Dialect>(
     req: &mut Request,
     shared: &Shared,
@@ -70,23 +68,19 @@
     let path_and_query = req.original_uri().path_and_query();
     let path_and_query = path_and_query.map_or_else(|| "/".to_string(), ToString::to_string);
     let method = req.method().clone();
-    let body = read_body(req, configuration).await?;
+    let deadline = received + timeout;
+    let body = read_body(req, shared, configuration.limits.body_bytes, deadline).await?;
     let caller = req.remote_addr().as_socket_addr().map(|address| address.ip().to_string());
     let caller = caller.unwrap_or_default();
-    let parts = [
-        caller.as_bytes(),
-        host.as_bytes(),
-        method.as_str().as_bytes(),
-        path_and_query.as_bytes(),
-        &body,
-    ];
-    let fingerprint = Fingerprint::new(parts);
+    let parts =
+        [caller.as_bytes(), host.as_bytes(), method.as_str().as_bytes(), path_and_query.as_bytes()];
+    let fingerprint = Fingerprint::new(parts).with_segments(body.segments());
     let mut headers = std::mem::take(req.headers_mut());
     remove_hop_by_hop(&mut headers);
     Ok(Exchange {
         request_id: metadata.request_id,
         received,
-        deadline: received + timeout,
+        deadline,
         method,
         path_and_query,
         headers,
@@ -122,42 +116,3 @@
     let host = uri.host().or(host_field).unwrap_or("");
     host.rsplit_once(':').map_or(host, |(name, _)| name)
 }
-
-/// Reads the complete request body, within the configured size limit and `BODY_TIMEOUT`.
-async fn read_body(req: &mut Request, configuration: &Configuration) -> Result<Bytes, Failure> {
-    let limit = configuration.limits.body_bytes;
-    let content_length = req.headers().get(header::CONTENT_LENGTH);
-    let content_length =
-        content_length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-    if content_length == Some(0) || (content_length.is_none() && !is_chunked(req.headers())) {
-        return Ok(Bytes::new());
-    }
-    if content_length.is_some_and(|size| size > limit) {
-        return Err(too_large(limit));
-    }
-    let mut stream = req.take_body().into_bytes_stream();
-    let read = async {
-        let mut buf = Vec::new();
-        while let Some(chunk) = stream.next().await {
-            let chunk = chunk
-                .map_err(|error| Failure::new(FailureKind::BadRequest, format!("body: {error}")))?;
-            if buf.len() + chunk.len() > limit {
-                return Err(too_large(limit));
-            }
-            buf.extend_from_slice(&chunk);
-        }
-        Ok(buf.into())
-    };
-    tokio::time::timeout(BODY_TIMEOUT, read).await.unwrap_or_else(|_| {
-        let detail = format!("the body took over {} s", BODY_TIMEOUT.as_secs());
-        Err(Failure::new(FailureKind::BadRequest, detail))
-    })
-}
-
-fn is_chunked(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::TRANSFER_ENCODING)
-}
-
-fn too_large(limit: usize) -> Failure {
-    Failure::new(FailureKind::BodyTooLarge, format!("at most {limit} bytes are accepted"))
-}
--- a/ibiscroft-edge/src/filters/send.rs
+++ b/ibiscroft-edge/src/filters/send.rs
@@ -4,24 +4,26 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::{StreamExt, stream};
 use http::StatusCode;
 use http::response::Parts;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::Target;
+use ibiscroft_core::fleet::{ByteShare, Target};
 use ibiscroft_core::ids::{RequestId, TargetName};
 use tokio::time::Instant;
 
 use super::forward::LATE_RESPONSE_GRACE;
 use super::identify::remove_hop_by_hop;
 use super::select::SelectedTarget;
+use crate::byte_budget::Holder;
 use crate::connection::{self, ConnectionError, TargetConnection};
 use crate::dialect::{Dialect, Refusal, ResponseMetadata};
 use crate::exchange::Exchange;
 use crate::reply::{ResponseBody, TargetResponse};
+use crate::segments::{SegmentBuffer, WholeResponse, releasing_segments};
 use crate::shared::Shared;
 
 /// Largest response body that is read completely before it is forwarded, in bytes.
@@ -147,8 +149,8 @@
     not_run_statuses.contains(&status)
 }
 
-/// Reads a response completely if its body is at most `MAX_BUFFERED_BODY_BYTES`; otherwise returns
-/// it with a streamed body, which breaks off at `cut_at`.
+/// Reads a response completely if its body is at most `MAX_BUFFERED_BODY_BYTES` and there is memory
+/// for it; otherwise returns it with a streamed body, which breaks off at `cut_at`.
 async fn read_response(
     shared: &Shared,
     target: &TargetName,
@@ -159,21 +161,50 @@
 ) -> Result<TargetResponse, SendError> {
     let Parts { status, mut headers, .. } = head;
     remove_hop_by_hop(&mut headers);
-    let mut buf = BytesMut::new();
+    let expected = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    let holder = shared.bytes.open();
+    holder.note_complete();
+    let mut buf = SegmentBuffer::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| SendError::Lost(format!("answer body: {error}")))?;
-        let Ok(chunk) = frame.into_data() else {
+        let Ok(mut chunk) = frame.into_data() else {
             continue;
         };
-        buf.extend_from_slice(&chunk);
-        if buf.len() > MAX_BUFFERED_BODY_BYTES {
-            let body =
-                ResponseBody::Stream(stream_body(buf.freeze(), body, connection, cut_at).boxed());
+        let is_buffered = buf.len() + chunk.len() <= MAX_BUFFERED_BODY_BYTES
+            && try_copy(&mut buf, &mut chunk, expected, &holder);
+        if !is_buffered {
+            let mut first = releasing_segments(buf, &holder);
+            first.push(chunk);
+            let chunks = stream_body(first, body, connection, cut_at).boxed();
+            let body = ResponseBody::Stream { chunks, cut_at };
             return Ok(TargetResponse { status, headers, body });
         }
     }
     shared.pool.put(target, connection);
-    Ok(TargetResponse { status, headers, body: ResponseBody::Whole(buf.freeze()) })
+    let body = ResponseBody::Whole(WholeResponse::new(buf, holder));
+    Ok(TargetResponse { status, headers, body })
+}
+
+/// Copies a chunk of a response to `buf`; returns whether there was memory for all of it. What has
+/// not been copied is left in `chunk`.
+fn try_copy(
+    buf: &mut SegmentBuffer,
+    chunk: &mut Bytes,
+    expected: Option<usize>,
+    holder: &Holder,
+) -> bool {
+    while !chunk.is_empty() {
+        let rest = expected.map(|length| length.saturating_sub(buf.len()).max(chunk.len()));
+        let size = buf.missing_segment(rest);
+        if size > 0 {
+            if !holder.try_reserve(ByteShare::Small, size) {
+                return false;
+            }
+            buf.add_segment(size);
+        }
+        buf.copy_from(chunk);
+    }
+    true
 }
 
 /// Returns a stream of the bytes read so far and the rest of the body, which fails if the body has
@@ -182,12 +213,12 @@
 /// The stream owns the connection, which is closed when the caller disconnects and the stream is
 /// dropped.
 fn stream_body(
-    first: Bytes,
+    first: Vec<Bytes>,
     body: Incoming,
     connection: TargetConnection,
     cut_at: Instant,
 ) -> impl futures_util::Stream<Item = io::Result<Bytes>> + Send {
-    let first = stream::once(async move { Ok(first) });
+    let first = stream::iter(first.into_iter().map(Ok));
     let open = Some((body.into_data_stream(), connection));
     let rest = stream::unfold(open, move |open| async move {
         let (mut body, connection) = open?;
--- a/ibiscroft-edge/src/lib.rs
+++ b/ibiscroft-edge/src/lib.rs
@@ -10,6 +10,8 @@
 //! gateway, and passes updates on to the gateways that follow this one. A third thread writes the
 //! log.
 
+mod byte_budget;
+mod caller_bounds;
 mod clock;
 mod connection;
 mod connection_pool;
@@ -25,6 +27,7 @@
 mod metrics;
 mod registry;
 mod reply;
+mod segments;
 mod server;
 mod settings;
 mod shared;
--- a/ibiscroft-edge/src/metrics.rs
+++ b/ibiscroft-edge/src/metrics.rs
@@ -35,6 +35,14 @@
     pub(crate) holds: IntCounter,
     /// Requests in flight.
     pub(crate) in_flight: IntGauge,
+    /// Bytes reserved for bodies and responses.
+    pub(crate) bytes_held: IntGauge,
+    /// Bodies that wait for memory.
+    pub(crate) bodies_waiting: IntGauge,
+    /// Open connections of callers.
+    pub(crate) caller_connections: IntGauge,
+    /// Connections of callers closed to keep a bound, by reason.
+    pub(crate) callers_closed: IntCounterVec,
 }
 
 impl Metrics {
@@ -83,6 +91,23 @@
                 "Hints for other gateways that were dropped",
             )?,
             holds: counter(&registry, "edge_requests_held_total", "Waits for a better target")?,
+            bytes_held: gauge(
+                &registry,
+                "edge_bytes_held",
+                "Bytes reserved for bodies and responses",
+            )?,
+            bodies_waiting: gauge(&registry, "edge_bodies_waiting", "Bodies that wait for memory")?,
+            caller_connections: gauge(
+                &registry,
+                "edge_caller_connections",
+                "Open connections of callers",
+            )?,
+            callers_closed: counter_vec(
+                &registry,
+                "edge_callers_closed_total",
+                "Connections of callers closed to keep a bound",
+                "reason",
+            )?,
             in_flight: gauge(&registry, "edge_requests_in_flight", "Requests in flight")?,
             registry,
         })
--- a/ibiscroft-edge/src/reply.rs
+++ b/ibiscroft-edge/src/reply.rs
@@ -5,8 +5,12 @@
 use bytes::Bytes;
 use futures_util::stream::BoxStream;
 use http::{HeaderMap, HeaderValue, StatusCode, header};
+use http_body_util::BodyExt;
 use ibiscroft_core::copy_data;
 use poem::{Body, Response};
+use tokio::time::Instant;
+
+use crate::segments::WholeResponse;
 
 copy_data! {
     /// Why a request is answered by the gateway instead of a target.
@@ -17,6 +21,10 @@
         NoRoute,
         /// A header field or the body of the request cannot be read.
         BadRequest,
+        /// The body has not arrived before the deadline of its request.
+        BodyLate,
+        /// No memory was available for the body, or it stalled while others waited for memory.
+        NoMemory,
         /// The body is larger than the configured limit.
         BodyTooLarge,
         /// No target is usable, or none of them can be reached.
@@ -41,12 +49,14 @@
     pub(crate) const fn status(self) -> StatusCode {
         match self {
             Self::NotReady
+            | Self::NoMemory
             | Self::NoTarget
             | Self::Overloaded
             | Self::Shed
             | Self::Stopping
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::ResponseLost => StatusCode::BAD_GATEWAY,
@@ -59,12 +69,20 @@
         !matches!(self, Self::ResponseLost | Self::TimedOut)
     }
 
+    /// Returns whether the connection is closed after the response because the rest of the request
+    /// is not read.
+    const fn closes_connection(self) -> bool {
+        matches!(self, Self::BodyLate | Self::NoMemory | Self::BodyTooLarge)
+    }
+
     /// Returns the name used in logs, metrics and the response to the caller.
     pub(crate) const fn name(self) -> &'static str {
         match self {
             Self::NotReady => "not_ready",
             Self::NoRoute => "no_route",
             Self::BadRequest => "bad_request",
+            Self::BodyLate => "body_late",
+            Self::NoMemory => "no_memory",
             Self::BodyTooLarge => "body_too_large",
             Self::NoTarget => "no_target",
             Self::Overloaded => "overloaded",
@@ -107,6 +125,9 @@
             .status(self.kind.status())
             .content_type("text/plain; charset=utf-8")
             .body(format!("{}: {}\n", self.kind.name(), self.detail));
+        if self.kind.closes_connection() {
+            res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
         let delay = self.retry_after.map(|delay| format!("{:.3}", delay.as_secs_f64()));
         if let Some(value) = delay.and_then(|text| HeaderValue::from_str(&text).ok()) {
             res.headers_mut().insert(header::RETRY_AFTER, value);
@@ -118,9 +139,14 @@
 /// Body of a target's response.
 pub(crate) enum ResponseBody {
     /// The complete body.
-    Whole(Bytes),
+    Whole(WholeResponse),
     /// A body that is too large to buffer and is streamed to the caller.
-    Stream(BoxStream<'static, std::io::Result<Bytes>>),
+    Stream {
+        /// Chunks of the body.
+        chunks: BoxStream<'static, std::io::Result<Bytes>>,
+        /// When the body breaks off if it has not ended.
+        cut_at: Instant,
+    },
 }
 
 /// A target's response.
@@ -139,8 +165,12 @@
         let mut res = Response::builder().status(self.status).finish();
         *res.headers_mut() = self.headers;
         match self.body {
-            ResponseBody::Whole(body) => res.set_body(body),
-            ResponseBody::Stream(body) => res.set_body(Body::from_bytes_stream(body)),
+            ResponseBody::Whole(body) => {
+                res.set_body(BodyExt::map_err(body, |never| match never {}).boxed());
+            }
+            ResponseBody::Stream { chunks, .. } => {
+                res.set_body(Body::from_bytes_stream(chunks));
+            }
         }
         res
     }
--- a/ibiscroft-edge/src/server.rs
+++ b/ibiscroft-edge/src/server.rs
@@ -1,19 +1,28 @@
 //! HTTP endpoint for callers.
 
 use std::marker::PhantomData;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
 
+use futures_util::StreamExt;
 use http::{HeaderValue, StatusCode, header};
-use ibiscroft_listener::{Connection, ConnectionRegistry, close_on_error};
-use poem::{Body, Endpoint, Request, Response};
+use ibiscroft_core::Tick;
+use ibiscroft_core::fleet::STALL_TIME;
+use ibiscroft_listener::{Connection, ConnectionRegistry, RequestGuard, close_on_error};
+use poem::{Endpoint, Request, Response};
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::dialect::Dialect;
 use crate::events::event;
 use crate::filters::Handler;
 use crate::filters::identify::identify;
-use crate::reply::{Failure, Reply, ResponseBody};
+use crate::reply::{Failure, FailureKind, Reply, ResponseBody};
+use crate::segments::limit_unsent;
 use crate::shared::Shared;
 
+/// Retry time for callers whose request found no place among those in flight.
+const SLOT_RETRY_AFTER: Duration = Duration::from_millis(200);
+
 /// Passes callers' requests through the filter chain and turns the outcome into a response.
 #[derive(Debug)]
 pub(crate) struct CallerEndpoint<D, H> {
@@ -30,14 +39,36 @@
     }
 
     /// Handles a request, after the first configuration has arrived or its wait has timed out.
-    async fn serve(&self, mut req: Request) -> Reply {
+    async fn serve(&self, mut req: Request) -> (Reply, Option<OwnedSemaphorePermit>) {
         let received = self.shared.clock.now();
         self.shared.wait_for_first_configuration().await;
         match identify::<D>(&mut req, &self.shared, received).await {
-            Ok(ex) => self.chain.handle(&ex).await,
+            Ok(ex) => match self.wait_for_slot(ex.deadline).await {
+                Ok(slot) => (self.chain.handle(&ex).await, slot),
+                Err(failure) => {
+                    self.log_refusal(&req, &failure);
+                    (Err(failure), None)
+                }
+            },
             Err(failure) => {
                 self.log_refusal(&req, &failure);
-                Err(failure)
+                (Err(failure), None)
+            }
+        }
+    }
+
+    /// Waits until the request may use connections to targets.
+    async fn wait_for_slot(&self, deadline: Tick) -> Result<Option<OwnedSemaphorePermit>, Failure> {
+        let Some(slots) = &self.shared.request_slots else {
+            return Ok(None);
+        };
+        let until = self.shared.clock.instant(deadline);
+        match tokio::time::timeout_at(until, Arc::clone(slots).acquire_owned()).await {
+            // The semaphore is never closed.
+            Ok(slot) => Ok(slot.ok()),
+            Err(_) => {
+                let detail = "too many requests in flight for the descriptors of the gateway";
+                Err(Failure::new(FailureKind::Overloaded, detail).retry_after(SLOT_RETRY_AFTER))
             }
         }
     }
@@ -55,21 +86,32 @@
     ///
     /// A streamed body closes `connection` if it breaks off, so that the caller does not take a
     /// truncated body for a complete one.
-    fn respond(reply: Reply, connection: Arc<Connection>) -> Response {
-        match reply {
-            Err(failure) => failure.response(),
-            Ok(mut response) => {
-                let body =
-                    std::mem::replace(&mut response.body, ResponseBody::Whole(Vec::new().into()));
-                match body {
-                    ResponseBody::Whole(whole) => response.body = ResponseBody::Whole(whole),
-                    ResponseBody::Stream(stream) => {
-                        let mut res = response.into_response();
-                        let stream = close_on_error(stream, connection);
-                        res.set_body(Body::from_bytes_stream(stream));
-                        return res;
-                    }
-                }
+    fn respond(
+        reply: Reply,
+        connection: &Arc<Connection>,
+        request: RequestGuard,
+        slot: Option<OwnedSemaphorePermit>,
+    ) -> Response {
+        let mut response = match reply {
+            Err(failure) => return failure.response(),
+            Ok(response) => response,
+        };
+        match response.body {
+            ResponseBody::Whole(ref mut whole) => {
+                whole.begin_sending(connection, request);
+                response.into_response()
+            }
+            ResponseBody::Stream { chunks, cut_at } => {
+                let request = Arc::new(request);
+                let is_open = Arc::downgrade(&request);
+                tokio::spawn(close_unread(is_open, Arc::clone(connection), cut_at));
+                let chunks =
+                    limit_unsent(close_on_error(chunks, Arc::clone(connection)), connection);
+                let chunks = chunks.inspect(move |_| {
+                    // Both are kept as long as the stream.
+                    let _ = (&request, &slot);
+                });
+                response.body = ResponseBody::Stream { chunks: chunks.boxed(), cut_at };
                 response.into_response()
             }
         }
@@ -83,13 +125,14 @@
         let Some(connection) = self.connections.for_request(&req) else {
             return Ok(caller_left());
         };
-        let reply = tokio::select! {
+        let request = connection.begin_request();
+        let (reply, slot) = tokio::select! {
             // First, so that no request behind others is started for a caller that has left.
             biased;
             () = connection.ended() => return Ok(caller_left()),
             reply = self.serve(req) => reply,
         };
-        let mut res = Self::respond(reply, connection);
+        let mut res = Self::respond(reply, &connection, request, slot);
         if self.shared.is_closing() {
             res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
@@ -97,6 +140,21 @@
     }
 }
 
+/// Closes the connection of a caller that has not read a streamed response some time after its
+/// end, so that it does not occupy a target and a place among the requests in flight.
+///
+/// The server does not ask for the next chunk, which would fail then, while the caller reads none.
+async fn close_unread(
+    is_open: Weak<RequestGuard>,
+    connection: Arc<Connection>,
+    cut_at: tokio::time::Instant,
+) {
+    tokio::time::sleep_until(cut_at + STALL_TIME).await;
+    if is_open.strong_count() > 0 {
+        connection.close();
+    }
+}
+
 /// Returns a placeholder response for a caller that closed its connection; it is never sent.
 fn caller_left() -> Response {
     StatusCode::BAD_REQUEST.into()
--- a/ibiscroft-edge/src/settings.rs
+++ b/ibiscroft-edge/src/settings.rs
@@ -52,6 +52,12 @@
     pub bandwidth_mbps: f64,
     /// Maximum time between a stop signal and the end of the process, in seconds; 0.5 to 3600.
     pub stop_grace_s: f64,
+    /// Memory of the instance, in megabytes (10^6 bytes); 32 to 1,000,000. Half of it is for the
+    /// bodies of requests and responses; without a value they are not limited.
+    pub memory_mb: Option<f64>,
+    /// Number of descriptors that the process may open; 256 to 10,000,000. Without a value the
+    /// connections of callers are not limited.
+    pub max_fds: Option<u32>,
 }
 
 /// Returns the default timeout of a probe, in seconds; longer than the delay caused by a slow link of
@@ -126,6 +132,16 @@
             "stop_grace_s is {}, must lie in 0.5 to 3600",
             settings.stop_grace_s
         );
+        ensure!(
+            settings.memory_mb.is_none_or(|mb| (32.0..=1e6).contains(&mb)),
+            "memory_mb is {}, must lie in 32 to 1000000",
+            settings.memory_mb.unwrap_or_default()
+        );
+        ensure!(
+            settings.max_fds.is_none_or(|count| (256..=10_000_000).contains(&count)),
+            "max_fds is {}, must lie in 256 to 10000000",
+            settings.max_fds.unwrap_or_default()
+        );
         Ok(settings)
     }
 
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -13,8 +13,10 @@
     SaturationSlowdown, StopSchedule, Target, TargetHealth, TrafficSplit, View,
 };
 use ibiscroft_core::ids::{ServiceName, TargetName};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 
+use crate::byte_budget::ByteBudget;
+use crate::caller_bounds::request_slots;
 use crate::clock::Clock;
 use crate::connection_pool::ConnectionPool;
 use crate::dialect::TargetWish;
@@ -46,6 +48,10 @@
     pub(crate) view: ArcSwap<View>,
     /// Metrics.
     pub(crate) metrics: Metrics,
+    /// Bytes of requests and responses in memory.
+    pub(crate) bytes: Arc<ByteBudget>,
+    /// Places for requests that use connections to targets; `None` without a limit.
+    pub(crate) request_slots: Option<Arc<Semaphore>>,
     /// Idle connections to targets.
     pub(crate) pool: ConnectionPool,
     /// Queue of hints for the other gateways, from the traffic thread to the control thread.
@@ -213,9 +219,12 @@
         settings: Settings,
         hints: mpsc::Sender<Hint>,
     ) -> Result<Arc<Self>, prometheus::Error> {
+        let clock = Clock::start();
         Ok(Arc::new(Self {
+            bytes: ByteBudget::new(clock, settings.memory_mb),
+            request_slots: settings.max_fds.map(request_slots),
             settings,
-            clock: Clock::start(),
+            clock,
             view: ArcSwap::from_pointee(View::default()),
             metrics: Metrics::new()?,
             pool: ConnectionPool::default(),
