--- a/ibiscroft-core/tests/it/quarantine.rs
+++ b/ibiscroft-core/tests/it/quarantine.rs
@@ -30,6 +30,16 @@
     assert_ne!(base, Fingerprint::new(["register", "GET", "", "/a"]));
 }
 
+/// Gateways compare fingerprints, so they must not depend on how a body arrived at one of them.
+#[test]
+fn a_fingerprint_does_not_depend_on_the_segments_of_the_body() {
+    let whole = Fingerprint::new(["GET", "/a", "an order with a body"]);
+    let segments = ["an order", "", " with ", "a body"];
+    assert_eq!(whole, Fingerprint::new(["GET", "/a"]).with_segments(segments));
+    let empty = Fingerprint::new(["GET", "/a", ""]);
+    assert_eq!(empty, Fingerprint::new(["GET", "/a"]).with_segments([""; 0]));
+}
+
 fn run(steps: &[Step]) -> World {
     let mut world = World::default();
     steps.iter().for_each(|step| world.step(step));
--- a/ibiscroft-edge/src/caller_bounds.rs
+++ b/ibiscroft-edge/src/caller_bounds.rs
@@ -6,6 +6,7 @@
 use ibiscroft_listener::ConnectionRegistry;
 use tokio::sync::Semaphore;
 
+use crate::connection_pool::MIN_IDLE_CONNECTIONS;
 use crate::events::event;
 use crate::shared::Shared;
 
@@ -20,24 +21,33 @@
 const FIXED_DESCRIPTORS: u32 = 60;
 /// Number of connections to targets that a request uses at the same time, with its probes.
 const DESCRIPTORS_PER_REQUEST: u32 = 3;
-/// Divisor of the descriptors beside the reserve that gives the part of requests in flight.
-const IN_FLIGHT_DIVISOR: u32 = 3;
+/// Divisor of the descriptors beside the reserve that gives the part of requests in flight, and the
+/// largest part of idle connections to targets.
+const PART_DIVISOR: u32 = 4;
 /// Smallest number of connections of callers, however small the process or large the fleet.
-const MIN_CALLER_CONNECTIONS: u32 = 16;
+const MIN_CALLER_CONNECTIONS: usize = 16;
 
 /// Returns the number of requests that may use connections to targets at the same time.
 pub(crate) fn request_slots(max_fds: u32) -> Arc<Semaphore> {
-    let shared = max_fds.saturating_sub(RESERVED_DESCRIPTORS) / IN_FLIGHT_DIVISOR;
-    let descriptors = shared + RESERVED_DESCRIPTORS - FIXED_DESCRIPTORS;
+    let descriptors = part(max_fds) + RESERVED_DESCRIPTORS - FIXED_DESCRIPTORS;
     Arc::new(Semaphore::new((descriptors / DESCRIPTORS_PER_REQUEST) as usize))
 }
 
+const fn part(max_fds: u32) -> u32 {
+    max_fds.saturating_sub(RESERVED_DESCRIPTORS) / PART_DIVISOR
+}
+
+/// Returns the maximum number of idle connections to targets.
+fn max_idle_connections(max_fds: u32, targets: usize) -> usize {
+    targets.min(part(max_fds) as usize).max(MIN_IDLE_CONNECTIONS)
+}
+
 /// Returns the maximum number of connections of callers in a fleet with this number of targets and
-/// gateways, each of which may have a connection to this process.
+/// of gateways, each of which may have a connection to this process.
 fn max_caller_connections(max_fds: u32, targets: usize, gateways: usize) -> usize {
-    let left = max_fds.saturating_sub(RESERVED_DESCRIPTORS);
-    let left = left - left / IN_FLIGHT_DIVISOR;
-    (left as usize).saturating_sub(targets + gateways).max(MIN_CALLER_CONNECTIONS as usize)
+    let left = max_fds.saturating_sub(RESERVED_DESCRIPTORS + part(max_fds)) as usize;
+    let others = max_idle_connections(max_fds, targets) + gateways;
+    left.saturating_sub(others).max(MIN_CALLER_CONNECTIONS)
 }
 
 /// Counts of closed connections so far.
@@ -61,7 +71,7 @@
             let (targets, gateways) = (view.targets().count(), view.member_count());
             let max_open = max_caller_connections(max_fds, targets, gateways);
             connections.bounds().set_max_open(max_open);
-            shared.pool.set_max_idle(targets);
+            shared.pool.set_max_idle(max_idle_connections(max_fds, targets));
         }
         if let Some(configuration) = view.configuration() {
             connections.bounds().set_max_head_bytes(configuration.limits.header_bytes);
--- a/ibiscroft-edge/src/connection_pool.rs
+++ b/ibiscroft-edge/src/connection_pool.rs
@@ -10,6 +10,8 @@
 
 /// Maximum number of idle connections to one target.
 const MAX_IDLE_PER_TARGET: usize = 6;
+/// Smallest limit of the idle connections to all targets.
+pub(crate) const MIN_IDLE_CONNECTIONS: usize = 2 * MAX_IDLE_PER_TARGET;
 
 /// Idle connections by target name.
 ///
@@ -41,9 +43,9 @@
         None
     }
 
-    /// Sets the maximum number of idle connections to all targets, at least that to a single one.
+    /// Sets the maximum number of idle connections to all targets.
     pub(crate) fn set_max_idle(&self, count: usize) {
-        self.max_idle.store(count.max(2 * MAX_IDLE_PER_TARGET), Ordering::Relaxed);
+        self.max_idle.store(count, Ordering::Relaxed);
     }
 
     /// Returns a connection to the pool after its last response was read completely.
--- a/ibiscroft-listener/src/activity.rs
+++ b/ibiscroft-listener/src/activity.rs
@@ -27,6 +27,8 @@
     pub(crate) since: Instant,
     /// Bytes received since a handler last ran.
     pub(crate) head_bytes: usize,
+    /// Whether a read was put off once because the head has its maximum size.
+    pub(crate) is_head_full: bool,
     /// Number of the connection's first bytes if they are those of the HTTP/2 preface.
     preface_bytes: usize,
     /// Whether the connection is being closed and nothing more is read from it.
@@ -45,6 +47,7 @@
             phase: Phase::Idle,
             since: Instant::now(),
             head_bytes: 0,
+            is_head_full: false,
             preface_bytes: 0,
             is_refused: false,
             is_write_blocked: false,
@@ -77,6 +80,7 @@
         self.phase = phase;
         self.since = Instant::now();
         self.head_bytes = 0;
+        self.is_head_full = false;
     }
 
     /// Records whether the kernel took bytes for the caller.
--- a/ibiscroft-listener/src/connection.rs
+++ b/ibiscroft-listener/src/connection.rs
@@ -246,6 +246,13 @@
             return Poll::Pending;
         }
         let left = self.bounds.max_head_bytes().saturating_sub(activity.head_bytes);
+        if left == 0 && !activity.is_head_full {
+            // The server also reads behind a complete head, before the handler runs for the first
+            // time; in that case the handler runs before the next read.
+            activity.is_head_full = true;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         if left == 0 {
             self.refuse(&mut activity, HEAD_TOO_LONG);
         }
