--- a/ibiscroft-edge/src/byte_budget.rs
+++ b/ibiscroft-edge/src/byte_budget.rs
@@ -1,7 +1,7 @@
 //! Bytes that callers make this process keep, and the tasks that wait for them.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use ibiscroft_core::fleet::{ByteAccount, ByteShare, HolderId, Reservation};
@@ -70,7 +70,8 @@
         let id = state.account.open(self.clock.now());
         state.signals.insert(id, Arc::clone(&signal));
         drop(state);
-        Arc::new(Holder { budget: Arc::clone(self), id, signal })
+        let budget = Arc::clone(self);
+        Arc::new(Holder { budget, id, signal, has_waited: AtomicBool::new(false) })
     }
 
     /// Ends the holder that has stalled for the longest time, if others wait.
@@ -113,6 +114,7 @@
     budget: Arc<ByteBudget>,
     id: HolderId,
     signal: Arc<Signal>,
+    has_waited: AtomicBool,
 }
 
 impl Drop for Holder {
@@ -136,7 +138,7 @@
         match self.budget.lock().account.reserve(now, self.id, share, bytes as u64) {
             Reservation::Granted => return Ok(()),
             Reservation::Ended => return Err(HolderEnded),
-            Reservation::Waiting => {}
+            Reservation::Waiting => self.has_waited.store(true, Ordering::Relaxed),
         }
         while self.is_waiting() {
             self.signal.granted.notified().await;
@@ -176,8 +178,13 @@
         self.budget.lock().account.note_sending(self.budget.clock.now(), self.id);
     }
 
+    /// Returns whether the holder had to wait for bytes at some time.
+    pub(crate) fn has_waited(&self) -> bool {
+        self.has_waited.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the holder waits for bytes.
-    pub(crate) fn is_waiting(&self) -> bool {
+    fn is_waiting(&self) -> bool {
         self.budget.lock().account.is_waiting(self.id)
     }
 
--- a/ibiscroft-edge/src/filters/identify/body.rs
+++ b/ibiscroft-edge/src/filters/identify/body.rs
@@ -47,8 +47,10 @@
     };
     let buf = match tokio::time::timeout_at(shared.clock.instant(deadline), read).await {
         Ok(buf) => buf?,
-        Err(_) if holder.is_waiting() => {
-            let detail = "no memory for the body before the deadline";
+        // Bodies with the same deadline free their memory at that moment for the next one, so that
+        // it need not be waiting any more.
+        Err(_) if holder.has_waited() => {
+            let detail = "the body waited for memory and was not complete at the deadline";
             return Err(
                 Failure::new(FailureKind::NoMemory, detail).retry_after(NO_MEMORY_RETRY_AFTER)
             );
