fix(edge,gateway): stalled bodies are looked for every 50 ms; head limit

Edge: of 50 chunked bodies that fill the account and wait for each other, one was ended every 200 ms. Now one every 50 ms.

--- a/ibiscroft-edge/src/caller_bounds.rs
+++ b/ibiscroft-edge/src/caller_bounds.rs
@@ -10,10 +10,13 @@
 use crate::events::event;
 use crate::shared::Shared;
 
-/// Interval at which late request heads and stalled bodies are looked for.
-const CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Number of checks between two reports of closed connections.
-const CHECKS_PER_REPORT: u32 = 5;
+/// Interval at which a stalled body is looked for. When many chunked bodies fill the account and
+/// wait for each other, each check frees only what one of them holds.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of those intervals between two looks for late request heads.
+const INTERVALS_PER_CHECK: u32 = 4;
+/// Number of those intervals between two reports of closed connections.
+const INTERVALS_PER_REPORT: u32 = 20;
 /// Descriptors kept for everything but the connections of callers: files, listeners, the store, and
 /// connections to targets on which requests are in flight.
 const RESERVED_DESCRIPTORS: u32 = 200;
@@ -61,11 +64,15 @@
 
 /// Enforces the bounds periodically, by the configuration in force.
 pub(crate) async fn enforce(shared: Arc<Shared>, connections: Arc<ConnectionRegistry>) {
-    let mut timer = tokio::time::interval(CHECK_INTERVAL);
+    let mut timer = tokio::time::interval(STALL_CHECK_INTERVAL);
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut reported = Closed::default();
-    for check in 0_u32.. {
+    for number in 0_u32.. {
         timer.tick().await;
+        shared.bytes.end_stalled();
+        if !number.is_multiple_of(INTERVALS_PER_CHECK) {
+            continue;
+        }
         let view = shared.view.load_full();
         if let Some(max_fds) = shared.settings.max_fds {
             let (targets, gateways) = (view.targets().count(), view.member_count());
@@ -77,13 +84,12 @@
             connections.bounds().set_max_head_bytes(configuration.limits.header_bytes);
             connections.refuse_late_heads(configuration.limits.header_timeout);
         }
-        shared.bytes.end_stalled();
         let metrics = &shared.metrics;
         let (bytes, waiting) = shared.bytes.usage();
         metrics.bytes_held.set(bytes.cast_signed());
         metrics.bodies_waiting.set(waiting as i64);
         metrics.caller_connections.set(connections.open_count() as i64);
-        if check.is_multiple_of(CHECKS_PER_REPORT) {
+        if number.is_multiple_of(INTERVALS_PER_REPORT) {
             report(&shared, &connections, &mut reported);
         }
     }
--- a/ibiscroft-gateway/src/server.rs
+++ b/ibiscroft-gateway/src/server.rs
@@ -93,6 +93,7 @@
         let Some(connection) = self.connections.for_request(&req) else {
             return Ok(response_for_disconnected());
         };
+        let _request = connection.begin_request();
         let reply = tokio::select! {
             reply = self.serve(req, &id, received) => reply,
             () = connection.ended() => return Ok(response_for_disconnected()),
--- a/ibiscroft-gateway/src/traffic.rs
+++ b/ibiscroft-gateway/src/traffic.rs
@@ -26,6 +26,9 @@
 
 /// Longest time without a byte on a caller's connection; requests in flight are not interrupted.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Maximum size of a request head, in bytes; twice that of the header fields, so that requests with
+/// more of them still get the error response of the gateway.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// Handles and limits that each traffic thread needs.
 #[derive(Clone, Debug)]
@@ -146,6 +149,7 @@
 ) -> eyre::Result<()> {
     let connections = Arc::new(ConnectionRegistry::default());
     let listener = TcpListener::from_std(listener)?;
+    connections.bounds().set_max_head_bytes(MAX_HEAD_BYTES);
     let acceptor = ConnectionAcceptor::new(listener, Arc::clone(&connections))?;
     let chain = chain(&context)?;
     let callers = CallerEndpoint::new(context.shared, chain, connections, context.closing);
