fix(edge): a chunked body reserves as much again as it has

Cause: 50 chunked bodies of 64 MiB filled the account and waited for each other. Bytes of an ended one went to all of them a segment at a time; that counted as progress of each, so the next was ended 2 s later, and none was complete by its deadline. Ruled out: the interval of the check (50 ms in place of 200 ms changed nothing).

Change: a chunked body reserves as many bytes as it has, within the legal size, and returns the rest at its end.

--- a/ibiscroft-edge/src/filters/identify/body.rs
+++ b/ibiscroft-edge/src/filters/identify/body.rs
@@ -77,6 +77,8 @@
     }
     let mut stream = req.take_body().into_bytes_stream();
     let mut buf = SegmentBuffer::default();
+    // Bytes of the bulk share that are reserved and not yet used by a segment.
+    let mut ahead = 0;
     if content_length.is_none() {
         holder.reserve(ByteShare::Small, FIRST_SEGMENT_BYTES).await?;
         buf.add_segment(FIRST_SEGMENT_BYTES);
@@ -93,13 +95,21 @@
             let size = buf.missing_segment(rest);
             if size > 0 {
                 if content_length.is_none() {
-                    holder.reserve(ByteShare::Bulk, size).await?;
+                    if ahead < size {
+                        // Twice the size each time: with many bodies of unknown length the bytes
+                        // of one that is ended go to the first in line and not to all a little.
+                        let more = buf.len().max(size).min(limit - buf.len()).max(size - ahead);
+                        holder.reserve(ByteShare::Bulk, more).await?;
+                        ahead += more;
+                    }
+                    ahead -= size;
                 }
                 buf.add_segment(size);
             }
             buf.copy_from(&mut chunk);
         }
     }
+    holder.release(ByteShare::Bulk, ahead);
     Ok(buf)
 }
 
