--- a/ibiscroft-core/tests/it/fleet.rs
+++ b/ibiscroft-core/tests/it/fleet.rs
@@ -1,6 +1,7 @@
 //! Tests of `fleet`.
 
 mod budgets;
+mod byte_account;
 mod configuration_check;
 mod connection_reuse;
 mod era;
--- a/ibiscroft-edge/src/connection.rs
+++ b/ibiscroft-edge/src/connection.rs
@@ -10,9 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -23,6 +21,7 @@
 use tokio::time::Instant;
 
 use self::head_limit::{HeadLimit, HeadLimitedStream};
+use crate::segments::OutgoingBody;
 
 /// Time for which sent data may stay unacknowledged before the kernel closes the connection;
 /// several times the retransmission timeout within a region.
@@ -48,7 +47,7 @@
 /// An open connection to a target; dropping it closes the connection.
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<OutgoingBody>,
     head_limit: HeadLimit,
     /// Task that reads from and writes to the socket.
     driver: AbortHandle,
@@ -108,7 +107,7 @@
     /// it cannot have received the request.
     pub(crate) async fn exchange(
         &mut self,
-        mut req: Request<Full<Bytes>>,
+        mut req: Request<OutgoingBody>,
         is_final: fn(&HeaderMap) -> bool,
     ) -> Result<Response<Incoming>, ConnectionError> {
         if let Err(error) = self.sender.ready().await {
@@ -180,10 +179,10 @@
     method: Method,
     path_and_query: &str,
     headers: HeaderMap,
-    body: Bytes,
-) -> Result<Request<Full<Bytes>>, http::Error> {
+    body: impl Into<OutgoingBody>,
+) -> Result<Request<OutgoingBody>, http::Error> {
     let uri: Uri = path_and_query.parse()?;
-    let mut req = Request::builder().method(method).uri(uri).body(Full::new(body))?;
+    let mut req = Request::builder().method(method).uri(uri).body(body.into())?;
     *req.headers_mut() = headers;
     Ok(req)
 }
--- a/ibiscroft-edge/src/connection_pool.rs
+++ b/ibiscroft-edge/src/connection_pool.rs
@@ -1,6 +1,7 @@
 //! Pool of idle connections to targets.
 
 use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 
 use ibiscroft_core::ids::TargetName;
@@ -9,14 +10,24 @@
 
 /// Maximum number of idle connections to one target.
 const MAX_IDLE_PER_TARGET: usize = 6;
+/// Smallest limit of the idle connections to all targets.
+pub(crate) const MIN_IDLE_CONNECTIONS: usize = 2 * MAX_IDLE_PER_TARGET;
 
 /// Idle connections by target name.
 ///
 /// The key is the name and not the address, so that a target that took over the address of another
 /// one never receives requests on the other's connections.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ConnectionPool {
     idle: Mutex<HashMap<TargetName, Vec<TargetConnection>>>,
+    /// Maximum number of idle connections to all targets.
+    max_idle: AtomicUsize,
+}
+
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self { idle: Mutex::default(), max_idle: AtomicUsize::new(usize::MAX) }
+    }
 }
 
 impl ConnectionPool {
@@ -44,6 +55,11 @@
         targets.into_iter().filter(is_connected).cloned().collect()
     }
 
+    /// Sets the maximum number of idle connections to all targets.
+    pub(crate) fn set_max_idle(&self, count: usize) {
+        self.max_idle.store(count, Ordering::Relaxed);
+    }
+
     /// Returns a connection to the pool after its last response was read completely.
     ///
     /// The connection is closed if it is no longer usable or the pool holds enough for the target.
@@ -53,6 +69,10 @@
         }
         connection.set_idle();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let count: usize = idle.values().map(Vec::len).sum();
+        if count >= self.max_idle.load(Ordering::Relaxed) {
+            return;
+        }
         let connections = idle.entry(target.clone()).or_default();
         if connections.len() < MAX_IDLE_PER_TARGET {
             connections.push(connection);
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -14,8 +14,10 @@
     TrafficSplit, View,
 };
 use ibiscroft_core::ids::{ServiceName, TargetName};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 
+use crate::byte_budget::ByteBudget;
+use crate::caller_bounds::request_slots;
 use crate::clock::Clock;
 use crate::connection_pool::ConnectionPool;
 use crate::dialect::TargetWish;
@@ -53,6 +55,10 @@
     pub(crate) quotas: Quotas,
     /// Metrics.
     pub(crate) metrics: Metrics,
+    /// Bytes of requests and responses in memory.
+    pub(crate) bytes: Arc<ByteBudget>,
+    /// Places for requests that use connections to targets; `None` without a limit.
+    pub(crate) request_slots: Option<Arc<Semaphore>>,
     /// Idle connections to targets.
     pub(crate) pool: ConnectionPool,
     /// Whether targets to which a connection is open are preferred.
@@ -229,11 +235,14 @@
         settings: Settings,
         hints: mpsc::Sender<Hint>,
     ) -> Result<Arc<Self>, prometheus::Error> {
+        let clock = Clock::start();
         Ok(Arc::new(Self {
             reuses_connections: settings.has_feature(POOL_FEATURE),
             quotas: Quotas::new(settings.quota.unwrap_or_default()),
+            bytes: ByteBudget::new(clock, settings.memory_mb),
+            request_slots: settings.max_fds.map(request_slots),
             settings,
-            clock: Clock::start(),
+            clock,
             view: ArcSwap::from_pointee(View::default()),
             metrics: Metrics::new()?,
             pool: ConnectionPool::default(),
