--- a/ibiscroft-core/src/fleet.rs
+++ b/ibiscroft-core/src/fleet.rs
@@ -6,10 +6,13 @@
 //! which service it goes to, which targets are probed and selected, and whether another attempt is
 //! within the retry budget.
 
+mod byte_account;
 mod change;
 mod cold_target_limiter;
 mod configuration;
+pub mod configuration_check;
 mod connection_reuse;
+mod departed_targets;
 mod fleet_size;
 mod health;
 mod hint;
@@ -19,6 +22,7 @@
 mod priority;
 mod probe;
 mod probe_budget;
+mod quota;
 mod relay;
 mod resting_targets;
 mod retry_after;
@@ -34,7 +38,8 @@
 mod update_history;
 mod view;
 
-pub use change::{Change, Revision, Update};
+pub use byte_account::{ByteAccount, ByteShare, HolderId, Reservation, STALL_TIME};
+pub use change::{Change, Era, Position, Revision, Update};
 pub use cold_target_limiter::{ColdTargetLimiter, ColdTargetQuota};
 pub use configuration::{CallerLimits, Configuration, ServicePolicy};
 pub use connection_reuse::{new_connections, probe_order};
@@ -47,6 +52,10 @@
 pub use priority::{Rank, RecentRanks, Standing};
 pub use probe::{MAX_PROBE_ROUNDS, ProbeDecision, ProbeReport, ProbeSelection};
 pub use probe_budget::ProbeBudget;
+pub use quota::{
+    Demand, LimitedOrganisation, QuotaDecision, QuotaGate, QuotaLedger, QuotaNotice, QuotaReport,
+    QuotaStatus, QuotaTolerance,
+};
 pub use relay::Relay;
 pub use resting_targets::{MAX_REST, RestingTargets};
 pub use retry_after::{ExpectedCapacity, retry_after_rest};
--- a/ibiscroft-core/tests/it/fleet.rs
+++ b/ibiscroft-core/tests/it/fleet.rs
@@ -1,7 +1,10 @@
 //! Tests of `fleet`.
 
 mod budgets;
+mod byte_account;
+mod configuration_check;
 mod connection_reuse;
+mod era;
 mod feed;
 mod herds;
 mod holding;
@@ -9,6 +12,7 @@
 mod organisations;
 mod priority;
 mod probing;
+mod quota;
 mod refusals;
 mod resting;
 mod routes;
--- a/ibiscroft-core/tests/it/fleet/organisations.rs
+++ b/ibiscroft-core/tests/it/fleet/organisations.rs
@@ -2,8 +2,8 @@
 
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::{
-    Change, Configuration, KeyDigest, OrganisationPolicy, Organisations, Quota, Revision, Update,
-    View,
+    Change, Configuration, Era, KeyDigest, OrganisationPolicy, Organisations, Quota, Revision,
+    Update, View,
 };
 use ibiscroft_core::ids::OrganisationName;
 use std::time::Duration;
@@ -92,9 +92,11 @@
     let mut view = View::default();
     let mut apply = |revision, is_full, configuration: Configuration| {
         let update = Update {
+            era: Era(0),
             since: Revision(0),
             revision: Revision(revision),
             is_full,
+            is_difference: false,
             changes: vec![Change::Configuration(Box::new(configuration))],
             hints: Vec::new(),
             age: Duration::ZERO,
--- a/ibiscroft-edge/src/daemon.rs
+++ b/ibiscroft-edge/src/daemon.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+use crate::caller_bounds;
 use crate::dialect::Dialect;
 use crate::events::event;
 use crate::feed_hub::FeedHub;
@@ -20,9 +21,11 @@
 use crate::filters::account::Account;
 use crate::filters::forward::Forward;
 use crate::filters::quarantine::Quarantine;
+use crate::filters::quota::LimitByQuota;
 use crate::filters::stop::RefuseWhenStopping;
 use crate::membership::Membership;
 use crate::mesh;
+use crate::quotas;
 use crate::registry::Registry;
 use crate::server::CallerEndpoint;
 use crate::settings::Settings;
@@ -80,8 +83,9 @@
         }
     };
     let control = async move {
+        let exchange_demand = quotas::exchange(Arc::clone(&shared), hub.clone());
         let serve = mesh::serve(shared, listener, hub);
-        tokio::join!(feeder.run(), membership.run(), serve, forward_hints);
+        tokio::join!(feeder.run(), membership.run(), serve, forward_hints, exchange_demand);
     };
     std::thread::Builder::new()
         .name("control".to_string())
@@ -100,11 +104,13 @@
     event!(Started, "instance={} callers={}", settings.instance, settings.caller_listen);
 
     let connections = Arc::new(ConnectionRegistry::default());
+    tokio::spawn(caller_bounds::enforce(Arc::clone(&shared), Arc::clone(&connections)));
     let acceptor = ConnectionAcceptor::new(callers, Arc::clone(&connections))?;
     let forward = Forward::<D>::new(Arc::clone(&shared));
     let quarantine = Quarantine::new(Arc::clone(&shared), forward);
     let refuse = RefuseWhenStopping::new(Arc::clone(&shared), quarantine);
-    let chain = Account::new(Arc::clone(&shared), refuse);
+    let limit = LimitByQuota::new(Arc::clone(&shared), refuse);
+    let chain = Account::new(Arc::clone(&shared), limit);
     let endpoint =
         CallerEndpoint::<D, _>::new(Arc::clone(&shared), chain, Arc::clone(&connections));
     // Offsets from the stop signal.
--- a/ibiscroft-edge/src/feed_hub.rs
+++ b/ibiscroft-edge/src/feed_hub.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use ibiscroft_core::Tick;
-use ibiscroft_core::fleet::{GatewayCount, Hint, Revision, Update, UpdateHistory, View};
+use ibiscroft_core::fleet::{
+    FollowerMessage, GatewayCount, Hint, Position, Revision, Update, UpdateHistory, View,
+};
 use tokio::sync::broadcast;
 
 use crate::events::event;
@@ -41,17 +43,19 @@
         Ok(Self { update: Arc::new(update), encoded: Arc::new(encoded), created_at: now })
     }
 
-    /// Creates a message at `now` with hints and without changes, which states the `revision` of the
+    /// Creates a message at `now` with hints and without changes, which states the `position` of the
     /// view.
     ///
     /// # Errors
     ///
     /// Returns an error if the hints cannot be encoded in CBOR.
-    pub(crate) fn of_hints(revision: Revision, hints: Vec<Hint>, now: Tick) -> eyre::Result<Self> {
+    pub(crate) fn of_hints(position: Position, hints: Vec<Hint>, now: Tick) -> eyre::Result<Self> {
         let update = Update {
+            era: position.era,
             since: Revision(0),
-            revision,
+            revision: position.revision,
             is_full: false,
+            is_difference: false,
             changes: Vec::new(),
             hints,
             age: UNKNOWN_AGE,
@@ -67,7 +71,7 @@
     message: FeedMessage,
 }
 
-/// Distributes updates to the followers of this gateway and hints to its source.
+/// Distributes updates to the followers of this gateway, and hints and reports to its source.
 #[derive(Clone, Debug)]
 pub(crate) struct FeedHub {
     /// Updates for the followers.
@@ -75,8 +79,8 @@
     /// Recent updates, for followers that connect or reconnect.
     history: Arc<Mutex<UpdateHistory<FeedMessage>>>,
     cached_full_view: Arc<Mutex<Option<CachedFullView>>>,
-    /// Hints for the source.
-    source_hints: broadcast::Sender<Hint>,
+    /// Hints and reports for the source.
+    to_source: broadcast::Sender<FollowerMessage>,
     /// Number of gateways that receive updates through each follower, itself included.
     followers: Arc<Mutex<HashMap<SocketAddr, GatewayCount>>>,
     /// Latest instant at which the view was known to match the store, in microseconds of the
@@ -88,10 +92,10 @@
     /// Creates a hub without followers and history.
     pub(crate) fn new() -> Self {
         let (tx, _) = broadcast::channel(QUEUE_CAPACITY);
-        let (source_hints, _) = broadcast::channel(QUEUE_CAPACITY);
+        let (to_source, _) = broadcast::channel(QUEUE_CAPACITY);
         Self {
             tx,
-            source_hints,
+            to_source,
             history: Arc::default(),
             cached_full_view: Arc::default(),
             followers: Arc::default(),
@@ -120,47 +124,48 @@
     pub(crate) fn send(&self, message: FeedMessage) {
         let mut history = self.history();
         let update = &message.update;
-        if update.is_full {
-            history.reset(update.revision);
-        } else if !update.changes.is_empty() {
-            history.push(update.revision, message.clone());
+        if update.is_full || update.is_difference {
+            history.reset(update.position());
+        } else {
+            // Also without changes: later updates continue at its position.
+            history.push(update.position(), message.clone());
         }
         drop(history);
         // Sending fails only if there are no followers.
         let _ = self.tx.send(message);
     }
 
-    /// Sends hints to all followers, in an update without changes that states the `revision` of the
+    /// Sends hints to all followers, in an update without changes that states the `position` of the
     /// view.
-    pub(crate) fn send_hints_to_followers(&self, revision: Revision, hints: Vec<Hint>, now: Tick) {
-        match FeedMessage::of_hints(revision, hints, now) {
+    pub(crate) fn send_hints_to_followers(&self, position: Position, hints: Vec<Hint>, now: Tick) {
+        match FeedMessage::of_hints(position, hints, now) {
             // Sending fails only if there are no followers.
             Ok(message) => drop(self.tx.send(message)),
             Err(error) => event!(MeshRefused, "reason={:?}", format!("encode hints: {error:#}")),
         }
     }
 
-    /// Sends a hint to the gateway that this one follows, if any.
-    pub(crate) fn send_hint_to_source(&self, hint: Hint) {
+    /// Sends a message to the gateway that this one follows, if any.
+    pub(crate) fn send_to_source(&self, message: FollowerMessage) {
         // Sending fails only if this gateway follows no other one.
-        let _ = self.source_hints.send(hint);
+        let _ = self.to_source.send(message);
     }
 
-    /// Subscribes to the hints that are to be sent to the source.
-    pub(crate) fn subscribe_source_hints(&self) -> broadcast::Receiver<Hint> {
-        self.source_hints.subscribe()
+    /// Subscribes to the messages that are to be sent to the source.
+    pub(crate) fn subscribe_to_source(&self) -> broadcast::Receiver<FollowerMessage> {
+        self.to_source.subscribe()
     }
 
-    /// Subscribes to updates after `revision`.
+    /// Subscribes to updates after `position`.
     ///
     /// Returns the past updates, `None` if not all of them are kept, and a receiver of those to
     /// come.
     pub(crate) fn subscribe(
         &self,
-        revision: Revision,
+        position: Position,
     ) -> (Option<Vec<FeedMessage>>, broadcast::Receiver<FeedMessage>) {
         let history = self.history();
-        (history.updates_after(revision), self.tx.subscribe())
+        (history.updates_after(position), self.tx.subscribe())
     }
 
     /// Returns a message with the full `view`, which is encoded once for all followers.
--- a/ibiscroft-edge/src/lib.rs
+++ b/ibiscroft-edge/src/lib.rs
@@ -10,6 +10,8 @@
 //! gateway, and passes updates on to the gateways that follow this one. A third thread writes the
 //! log.
 
+mod byte_budget;
+mod caller_bounds;
 mod clock;
 mod connection;
 mod connection_pool;
@@ -23,8 +25,10 @@
 mod membership;
 mod mesh;
 mod metrics;
+mod quotas;
 mod registry;
 mod reply;
+mod segments;
 mod server;
 mod settings;
 mod shared;
@@ -40,4 +44,4 @@
 };
 pub use log_sink::start_log_writer;
 pub use registry::{Lease, ListingSample, Registry, RegistryError};
-pub use settings::{RetryBudgetSettings, Settings};
+pub use settings::{QuotaSettings, RetryBudgetSettings, Settings};
--- a/ibiscroft-edge/src/mesh.rs
+++ b/ibiscroft-edge/src/mesh.rs
@@ -2,7 +2,8 @@
 //!
 //! A gateway sends updates of its view to each follower. Such a message is the age of the update
 //! in microseconds followed by the update, both in CBOR. In the other direction a follower sends
-//! [`FollowerMessage`]s in CBOR: hints, and the number of gateways that receive updates through it.
+//! [`FollowerMessage`]s in CBOR: hints, the number of gateways that receive
+//! updates through it, and the demand of organisations with a quota.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,7 +12,7 @@
 use bytes::Bytes;
 use eyre::WrapErr;
 use futures_util::{SinkExt, StreamExt};
-use ibiscroft_core::fleet::{FollowerMessage, GatewayCount, Hint, Revision, Update};
+use ibiscroft_core::fleet::{FollowerMessage, GatewayCount, Hint, Position, Update};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::broadcast::error::RecvError;
@@ -33,7 +34,7 @@
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Connects to the gateway at `address`, which then sends the updates after `revision`, or its full
+/// Connects to the gateway at `address`, which then sends the updates after `position`, or its full
 /// view if it no longer keeps them.
 ///
 /// # Errors
@@ -41,11 +42,11 @@
 /// Returns an error if the TCP connection or the WebSocket handshake fails.
 pub(crate) async fn connect(
     address: SocketAddr,
-    revision: Revision,
+    position: Position,
 ) -> eyre::Result<WebSocketStream<TcpStream>> {
     let stream = TcpStream::connect(address).await?;
     set_socket_options(&stream)?;
-    let url = format!("ws://{address}/feed?after={revision}");
+    let url = format!("ws://{address}/feed?after={position}");
     let (stream, _) = tokio_tungstenite::client_async(url, stream).await?;
     Ok(stream)
 }
@@ -91,6 +92,7 @@
 
 /// Applies a hint of a follower, and forwards it to the source and all followers if they need it.
 pub(crate) fn apply_and_forward_hint(shared: &Shared, hub: &FeedHub, hint: Hint) {
+    // A notice about quotas of a follower is not taken: only sources send them.
     if shared.traffic().on_hint(shared.clock.now(), &hint) {
         event!(HintTaken, "source=follower {hint:?}");
         forward_hint(shared, hub, hint);
@@ -100,8 +102,8 @@
 /// Forwards a hint to the source and all followers.
 pub(crate) fn forward_hint(shared: &Shared, hub: &FeedHub, hint: Hint) {
     let now = shared.clock.now();
-    hub.send_hint_to_source(hint.clone());
-    hub.send_hints_to_followers(shared.view.load().revision(), vec![hint], now);
+    hub.send_to_source(FollowerMessage::Hint(hint.clone()));
+    hub.send_hints_to_followers(shared.view.load().position(), vec![hint], now);
 }
 
 /// Decodes a message of the source; returns `None` if it is not an update.
@@ -119,11 +121,11 @@
     Ok(Some(Update { age: Duration::from_micros(age), ..update }))
 }
 
-/// The revision after which a follower requests changes, parsed from the query of its handshake; 0
-/// if it states none.
-struct RequestedRevision(Revision);
+/// The position after which a follower requests changes, parsed from the query of its handshake;
+/// unknown if it states none.
+struct RequestedPosition(Position);
 
-impl Callback for &mut RequestedRevision {
+impl Callback for &mut RequestedPosition {
     fn on_request(self, req: &Request, res: Response) -> Result<Response, ErrorResponse> {
         let query = req.uri().query().unwrap_or_default();
         let stated = query.strip_prefix("after=").and_then(|text| text.parse().ok());
@@ -141,6 +143,7 @@
                 tokio::spawn(async move {
                     let served = serve_follower(&shared, stream, peer, &hub).await;
                     hub.set_follower_count(peer, GatewayCount(0));
+                    shared.quotas.forget_follower(peer);
                     if let Err(error) = served {
                         event!(MeshRefused, "peer={peer} reason={:?}", format!("{error:#}"));
                     }
@@ -163,16 +166,17 @@
     hub: &FeedHub,
 ) -> eyre::Result<()> {
     set_socket_options(&stream)?;
-    let mut after = RequestedRevision(Revision(0));
+    let mut after = RequestedPosition(Position::UNKNOWN);
     let mut stream =
         tokio_tungstenite::accept_hdr_async(stream, &mut after).await.wrap_err("handshake")?;
-    let RequestedRevision(after) = after;
+    let RequestedPosition(after) = after;
     let checked_at = shared.clock.now();
     let staleness = hub.staleness(checked_at);
     let (missed, mut updates) = hub.subscribe(after);
     match missed {
         Some(missed) => {
-            let reached = missed.last().map_or(after, |message| message.update.revision.max(after));
+            let reached =
+                missed.last().map_or(after, |message| message.update.position().max(after));
             for message in missed {
                 stream.send(encode_update(shared, &message)?).await?;
             }
@@ -183,7 +187,7 @@
     }
     let hints = shared.traffic().lasting_hints();
     if !hints.is_empty() {
-        let message = FeedMessage::of_hints(shared.view.load().revision(), hints, checked_at)?;
+        let message = FeedMessage::of_hints(shared.view.load().position(), hints, checked_at)?;
         stream.send(encode_update(shared, &message)?).await?;
     }
     loop {
@@ -201,6 +205,9 @@
                     match ciborium::from_reader(bytes.as_ref())? {
                         FollowerMessage::Gateways(count) => hub.set_follower_count(peer, count),
                         FollowerMessage::Hint(hint) => apply_and_forward_hint(shared, hub, hint),
+                        FollowerMessage::Quota(report) => {
+                            shared.quotas.on_report(shared, peer, &report);
+                        }
                     }
                 }
                 continue;
@@ -216,13 +223,15 @@
     encode_with_age(message, age)
 }
 
-/// Encodes an update without changes, which tells a follower whose view has reached `revision` that
+/// Encodes an update without changes, which tells a follower whose view has reached `position` that
 /// it matched the store `age` ago.
-fn encode_freshness(shared: &Shared, revision: Revision, age: Duration) -> eyre::Result<Message> {
+fn encode_freshness(shared: &Shared, position: Position, age: Duration) -> eyre::Result<Message> {
     let update = Update {
-        since: revision,
-        revision,
+        era: position.era,
+        since: position.revision,
+        revision: position.revision,
         is_full: false,
+        is_difference: false,
         changes: Vec::new(),
         hints: Vec::new(),
         age,
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -10,18 +10,21 @@
 use ibiscroft_core::fleet::{
     AttemptOutcome, ColdTargetLimiter, Departure, FleetSize, GatewayCount, Hint, LeavingTargets,
     MAX_REST, ProbeBudget, ProbeReport, Rank, RecentRanks, RestingTargets, RetryLimits,
-    RetryWindow, Revision, Route, SaturationSlowdown, Standing, StopSchedule, Target, TargetHealth,
+    RetryWindow, Route, SaturationSlowdown, Standing, StopSchedule, Target, TargetHealth,
     TrafficSplit, View,
 };
 use ibiscroft_core::ids::{ServiceName, TargetName};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 
+use crate::byte_budget::ByteBudget;
+use crate::caller_bounds::request_slots;
 use crate::clock::Clock;
 use crate::connection_pool::ConnectionPool;
 use crate::dialect::TargetWish;
 use crate::events::event;
 use crate::exchange::Exchange;
 use crate::metrics::Metrics;
+use crate::quotas::Quotas;
 use crate::settings::Settings;
 use crate::suspects::Suspects;
 
@@ -48,8 +51,14 @@
     pub(crate) clock: Clock,
     /// The current view of the fleet, published by the control thread.
     pub(crate) view: ArcSwap<View>,
+    /// Quotas of organisations.
+    pub(crate) quotas: Quotas,
     /// Metrics.
     pub(crate) metrics: Metrics,
+    /// Bytes of requests and responses in memory.
+    pub(crate) bytes: Arc<ByteBudget>,
+    /// Places for requests that use connections to targets; `None` without a limit.
+    pub(crate) request_slots: Option<Arc<Semaphore>>,
     /// Idle connections to targets.
     pub(crate) pool: ConnectionPool,
     /// Whether targets to which a connection is open are preferred.
@@ -157,6 +166,8 @@
                 true
             }
             Hint::Leaving(departure) => self.leaving.note(now, departure),
+            // Notices concern `Quotas`, and only those of the source are taken.
+            Hint::Quota(_) => false,
         }
     }
 
@@ -224,10 +235,14 @@
         settings: Settings,
         hints: mpsc::Sender<Hint>,
     ) -> Result<Arc<Self>, prometheus::Error> {
+        let clock = Clock::start();
         Ok(Arc::new(Self {
             reuses_connections: settings.has_feature(POOL_FEATURE),
+            quotas: Quotas::new(settings.quota.unwrap_or_default()),
+            bytes: ByteBudget::new(clock, settings.memory_mb),
+            request_slots: settings.max_fds.map(request_slots),
             settings,
-            clock: Clock::start(),
+            clock,
             view: ArcSwap::from_pointee(View::default()),
             metrics: Metrics::new()?,
             pool: ConnectionPool::default(),
@@ -327,7 +342,7 @@
         let view = self.view.load();
         let mut targets = view.targets().count() as f64;
         let traffic = self.traffic();
-        if view.revision() == Revision(0) && traffic.listed_fraction > 0.0 {
+        if !view.position().is_known() && traffic.listed_fraction > 0.0 {
             targets /= traffic.listed_fraction;
         }
         let gateways = f64::from(traffic.fleet_size.get(self.clock.now()).get());
--- a/ibiscroft-edge/src/status_server.rs
+++ b/ibiscroft-edge/src/status_server.rs
@@ -44,9 +44,11 @@
             "availability_zone": self.shared.settings.availability_zone,
             "ready": self.shared.is_ready(),
             "closing": self.shared.is_closing(),
-            "revision": view.revision(),
+            "era": view.position().era,
+            "revision": view.position().revision,
             "configuration_version": view.configuration_version(),
             "zones_out": view.zones_out().collect::<Vec<_>>(),
+            "quotas": self.shared.quotas.dump(&self.shared),
             "targets": view.targets().collect::<Vec<_>>(),
             "gateways": View::members(&view).collect::<Vec<_>>(),
         });
