--- a/ibiscroft-edge/src/settings.rs
+++ b/ibiscroft-edge/src/settings.rs
@@ -76,8 +76,8 @@
     /// Optional behaviour that the deployment asks for; names that are not known are ignored.
     ///
     /// `pool`: new connections are expensive. Targets to which a connection is open are preferred,
-    /// and a request that can no longer meet its aim waits for free capacity, as its caller would
-    /// return on a new connection.
+    /// requests wait for capacity by their priority, and one that can no longer meet its aim waits
+    /// as well, as its caller would return on a new connection.
     #[serde(default)]
     pub features: Vec<String>,
     /// Memory of the instance, in megabytes (10^6 bytes); 32 to 1,000,000. Half of it is for the
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -302,8 +302,12 @@
         }
     }
 
-    /// Records the priority of a request and returns how it compares with others of its service.
+    /// Records the priority of a request and returns how it compares with others of its service;
+    /// without the feature `pool` all requests compare as equal.
     pub(crate) fn note_rank(&self, ex: &Exchange) -> Standing {
+        if !self.reuses_connections {
+            return Standing::Equal;
+        }
         let rank = Rank { organisation: ex.priority, route: ex.route.priority };
         let mut traffic = self.traffic();
         traffic.ranks.entry(ex.service.clone()).or_default().note(self.clock.now(), rank)
