feat: core of the target health that gateways share

Cause: a zone's targets that disappear at once are found by each pair of gateway and target on its own (28,285 refused connections in one outage).

Change: SharedHealth takes own findings and reports by target and run. An own finding or two other gateways within 2 s make a target tried last for 1 s, 2 s, 4 s; meanwhile a part of the gateways, chosen by hash, tries it outside of requests, and a success withdraws it everywhere within 0.3 s. Reports about more than half of a service's targets in a zone take effect only after own findings. Findings travel in lists, at most 10 own ones a second and a message in 150 ms.

Ruled out: ranks by rendezvous among all gateways, as a gateway knows only the names of the registered ones (three a zone); trials by requests, which may not come to the target; a check of reported targets in other zones (six by each gateway of the other zones in an outage, for targets that are seldom tried).

--- a/ibiscroft-core/src/fleet/health.rs
+++ b/ibiscroft-core/src/fleet/health.rs
@@ -55,6 +55,12 @@
         self.excluded_until = now + backoff.min(MAX_BACKOFF);
     }
 
+    /// Ends the backoff, as another gateway has reached the target.
+    pub fn end_backoff(&mut self, now: Tick) {
+        self.consecutive_unreachable = 0;
+        self.excluded_until = self.excluded_until.min(now);
+    }
+
     /// Returns the decayed failure rate of recent attempts, in 0..=1.
     #[must_use]
     pub fn failure_rate(&self, now: Tick) -> f64 {
--- a/ibiscroft-core/src/fleet/hint.rs
+++ b/ibiscroft-core/src/fleet/hint.rs
@@ -4,6 +4,7 @@
 
 use super::leaving_targets::Departure;
 use super::quota::{QuotaNotice, QuotaReport};
+use super::shared_health::TargetFinding;
 use super::target::GatewayCount;
 use crate::quarantine::{Fingerprint, Loss};
 
@@ -18,6 +19,10 @@
     Leaving(Departure),
     /// The fractions of requests that the root of the fleet admits; valid only from a source.
     Quota(QuotaNotice),
+    /// Targets that refused connections, or whose addresses other targets have.
+    TargetDown(Vec<TargetFinding>),
+    /// Targets that respond again.
+    TargetUp(Vec<TargetFinding>),
 }
 
 /// A message from a follower to its source.
--- a/ibiscroft-core/tests/it/fleet.rs
+++ b/ibiscroft-core/tests/it/fleet.rs
@@ -13,6 +13,7 @@
 mod refusals;
 mod resting;
 mod routes;
+mod shared_health;
 mod sources;
 mod stopping;
 mod view;
