--- a/ibiscroft-core/tests/it/fleet/shared_health/rules.rs
+++ b/ibiscroft-core/tests/it/fleet/shared_health/rules.rs
@@ -192,3 +192,31 @@
     health.due_trials(at(10_000), &unknown, FLEET);
     assert_eq!(health.tried_last_count(at(10_000)), 0);
 }
+
+/// Pattern: the root finds that a target responds, but has sent too many findings to tell it; the
+/// same finding of another gateway was taken for known and not forwarded.
+#[test]
+fn withdrawal_that_waits_for_the_rate_limit_is_replaced_by_that_of_another_gateway() {
+    let all = targets(20);
+    let mut health = health();
+    for target in &all {
+        health.note_unreachable(at(0), target);
+    }
+    health.take_messages(at(0));
+    for target in &all {
+        health.note_success(at(200), target);
+    }
+    let count = |health: &mut SharedHealth, now| {
+        let messages = health.take_messages(at(now)).unwrap();
+        match &messages.to_followers[..] {
+            [Hint::TargetUp(list)] => list.len(),
+            other => panic!("{other:?}"),
+        }
+    };
+    assert!(count(&mut health, 200) < 20);
+    for target in &all {
+        let list = vec![finding("a", target.name.as_str(), 1)];
+        health.on_up(at(210), FindingOrigin::Follower, list);
+    }
+    assert!(count(&mut health, 400) > 15);
+}
