feat: gateways share findings about targets over the mesh

Only in deployments with the feature pool. A refused connection, or another target at the address, is a finding; TargetDown and TargetUp carry lists of findings. Targets that are tried last join the excluded candidates. Trials run apart from requests and count against the probe budget.

The field reuses_connections is named has_pool_feature, as it selects both uses. Probes of single targets are in a file of their own.

--- a/ibiscroft-edge/src/daemon.rs
+++ b/ibiscroft-edge/src/daemon.rs
@@ -31,6 +31,7 @@
 use crate::shared::Shared;
 use crate::signals::{SignalAction, Signals};
 use crate::status_server::StatusEndpoint;
+use crate::target_health;
 
 /// Interval at which open connections are counted after the last response of a graceful shutdown.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -83,8 +84,10 @@
     };
     let control = async move {
         let exchange_demand = quotas::exchange(Arc::clone(&shared), hub.clone());
+        let exchange_findings = target_health::exchange(Arc::clone(&shared), hub.clone());
         let serve = mesh::serve(shared, listener, hub);
-        tokio::join!(feeder.run(), membership.run(), serve, forward_hints, exchange_demand);
+        let exchange = async { tokio::join!(exchange_demand, exchange_findings) };
+        tokio::join!(feeder.run(), membership.run(), serve, forward_hints, exchange);
     };
     std::thread::Builder::new()
         .name("control".to_string())
@@ -100,6 +103,7 @@
     let status = TcpAcceptor::from_tokio(bind(settings.status_listen).await?)?;
     tokio::spawn(Server::new_with_acceptor(status).run(StatusEndpoint::new(Arc::clone(&shared))));
     tokio::spawn(sweep(Arc::clone(&shared)));
+    tokio::spawn(target_health::try_targets::<D>(Arc::clone(&shared)));
     event!(Started, "instance={} callers={}", settings.instance, settings.caller_listen);
 
     let connections = Arc::new(ConnectionRegistry::default());
--- a/ibiscroft-edge/src/events.rs
+++ b/ibiscroft-edge/src/events.rs
@@ -71,6 +71,8 @@
     TargetUnreachable 6106 Info "A probe of a target failed; the target is excluded for a short backoff.",
     TargetLeaving 6109 Info "A target announced in a response that it is leaving; it receives no further requests.",
     TargetResting 6110 Warn "A target turned a request away and asked for a rest; until it ends this gateway sends it neither requests nor probes.",
+    TargetTriedLast 6111 Info "A target is tried only if no others are left: it is not at its address by this gateway's own finding, or by the reports of two others.",
+    TargetReturned 6112 Info "A target that was tried last responds again, at this gateway or at another one.",
     RequestHeld 6108 Info "All probed targets are near saturation or slow; the request is held before others are probed.",
 }
 
--- a/ibiscroft-edge/src/feeder.rs
+++ b/ibiscroft-edge/src/feeder.rs
@@ -13,8 +13,8 @@
 use futures_util::StreamExt;
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::{
-    Change, FleetSizeDebounce, FollowerMessage, GatewayCount, Hint, Member, Relay, Revision,
-    Source, SourceCheck, SourceMonitor, SourceSelector, Update, View,
+    Change, FindingOrigin, FleetSizeDebounce, FollowerMessage, GatewayCount, Hint, Member, Relay,
+    Revision, Source, SourceCheck, SourceMonitor, SourceSelector, Update, View,
 };
 use tokio_tungstenite::tungstenite::Message;
 
@@ -23,6 +23,7 @@
 use crate::mesh;
 use crate::registry::Registry;
 use crate::shared::Shared;
+use crate::target_health;
 use change_log::log_changes;
 use reading::ReadProgress;
 use store_reader::{PendingRead, ReadResponse, StoreReader};
@@ -257,6 +258,10 @@
         let now = self.shared.clock.now();
         let mut forwarded = Vec::new();
         for hint in hints {
+            let taken = target_health::take(&self.shared, FindingOrigin::Source, hint);
+            let Some(hint) = taken else {
+                continue;
+            };
             if let Hint::Quota(notice) = &hint {
                 self.shared.quotas.on_notice(&self.shared, notice);
                 forwarded.push(hint);
--- a/ibiscroft-edge/src/filters.rs
+++ b/ibiscroft-edge/src/filters.rs
@@ -6,7 +6,7 @@
 pub(crate) mod identify;
 pub(crate) mod quarantine;
 pub(crate) mod quota;
-mod select;
+pub(crate) mod select;
 mod send;
 pub(crate) mod stop;
 
--- a/ibiscroft-edge/src/filters/forward.rs
+++ b/ibiscroft-edge/src/filters/forward.rs
@@ -247,7 +247,7 @@
             deadline: ex.deadline,
             baseline_latency: traffic.baseline_latency(&ex.latency_class)?,
             slowdown: traffic.slowdown(&ex.service),
-            holds_late: shared.reuses_connections,
+            holds_late: shared.has_pool_feature,
             standing,
         };
         drop(traffic);
--- a/ibiscroft-edge/src/filters/select.rs
+++ b/ibiscroft-edge/src/filters/select.rs
@@ -1,34 +1,31 @@
 //! Selects a target by probing a few of them right before a request is sent.
 
 mod candidates;
+mod probe_task;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, header};
-use http_body_util::{BodyExt, Limited};
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::{
-    AttemptOutcome, ColdTargetQuota, GatewayCount, MAX_PROBE_ROUNDS, ProbeDecision, ProbeReport,
-    ProbeSelection, Repeatable, SaturationSlowdown, Target, View,
+    ColdTargetQuota, GatewayCount, MAX_PROBE_ROUNDS, ProbeDecision, ProbeReport, ProbeSelection,
+    Repeatable, SaturationSlowdown, Target, View,
 };
 use ibiscroft_core::ids::TargetName;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use self::candidates::Candidates;
-use crate::connection::{self, TargetConnection};
-use crate::dialect::{Dialect, ProbeResponse};
-use crate::events::event;
+pub(crate) use self::probe_task::probe_target;
+use self::probe_task::{CompletedProbe, ProbeTask};
+use crate::connection::TargetConnection;
+use crate::dialect::Dialect;
 use crate::exchange::Exchange;
 use crate::shared::Shared;
 
 /// Time to wait for the responses of a round before further targets are probed; allows for a new
 /// connection and a few round trips between zones.
 const ROUND_TIMEOUT: Duration = Duration::from_millis(25);
-/// Maximum size of the body of a response to a health check, in bytes.
-const MAX_PROBE_BODY_BYTES: usize = 16 << 10;
 /// Added cost of a target in another zone, in units of the baseline latency.
 const CROSS_ZONE_COST: f64 = 0.4;
 /// Added cost of a target in another zone for downloads, whose large responses occupy the link
@@ -61,27 +58,6 @@
     pub(super) resting_until: Option<Tick>,
 }
 
-/// Why a probe failed.
-struct ProbeError {
-    /// Whether the connection was refused, which shows that the target's process has ended.
-    is_process_ended: bool,
-    /// Description of the failure.
-    detail: String,
-}
-
-impl ProbeError {
-    /// Creates an error that does not show whether the target's process has ended.
-    fn inconclusive(detail: String) -> Self {
-        Self { is_process_ended: false, detail }
-    }
-}
-
-/// A completed probe of the target with this index in [`RequestProbes::targets`].
-struct CompletedProbe {
-    index: usize,
-    result: Result<(TargetConnection, ProbeReport), ProbeError>,
-}
-
 /// Selects the target for a request.
 ///
 /// Probes targets in rounds, as far as the probe budget allows, until the cost of the best target
@@ -294,107 +270,3 @@
     let rate = policy.map_or(0.0, |policy| policy.cold_rate * shared.settings.cold_factor);
     ColdTargetQuota::for_gateway(rate, &target.name, &shared.settings.instance, gateways)
 }
-
-/// One probe of a target.
-///
-/// It runs to its end even if the request no longer needs the result, so that its connection can be
-/// returned to the pool.
-struct ProbeTask {
-    shared: Arc<Shared>,
-    index: usize,
-    target: Target,
-    health_path: String,
-    tx: mpsc::UnboundedSender<CompletedProbe>,
-}
-
-impl ProbeTask {
-    /// Probes the target, records a failure and sends the result to the request.
-    async fn run<D: Dialect>(self) {
-        let Self { shared, index, target, health_path, tx } = self;
-        let probe = probe::<D>(&shared, &target, &health_path);
-        let probe_timeout = shared.settings.probe_timeout();
-        let result = match tokio::time::timeout(probe_timeout, probe).await {
-            Ok(result) => result,
-            Err(_) => Err(ProbeError::inconclusive(format!(
-                "no response within {} ms",
-                probe_timeout.as_millis()
-            ))),
-        };
-        if let Err(error) = &result {
-            let now = shared.clock.now();
-            let mut traffic = shared.traffic();
-            traffic.record_outcome(now, &target.name, AttemptOutcome::Unreachable);
-            let hints = if error.is_process_ended {
-                traffic.suspects.record_process_ended(now, &target)
-            } else {
-                Vec::new()
-            };
-            drop(traffic);
-            shared.send_hints(hints);
-            let reason = &error.detail;
-            shared.metrics.send_failures.with_label_values(&["probe"]).inc();
-            let Target { name, address, .. } = &target;
-            event!(TargetUnreachable, "target={name} address={address} reason={reason:?}");
-        }
-        if let Err(unreceived) = tx.send(CompletedProbe { index, result })
-            && let Ok((connection, _)) = unreceived.0.result
-        {
-            shared.pool.put(&target.name, connection);
-        }
-    }
-}
-
-/// Probes a target on an idle connection if there is one; if that fails or there is none, opens a
-/// new connection.
-async fn probe<D: Dialect>(
-    shared: &Shared,
-    target: &Target,
-    health_path: &str,
-) -> Result<(TargetConnection, ProbeReport), ProbeError> {
-    if let Some(connection) = shared.pool.take(&target.name)
-        && let Ok(result) = probe_on::<D>(shared, connection, target, health_path).await
-    {
-        return Ok(result);
-    }
-    shared.metrics.connections_opened.inc();
-    let connection = TargetConnection::open(target.address).await.map_err(|error| ProbeError {
-        is_process_ended: error.kind() == std::io::ErrorKind::ConnectionRefused,
-        detail: format!("connect: {error}"),
-    })?;
-    probe_on::<D>(shared, connection, target, health_path).await.map_err(ProbeError::inconclusive)
-}
-
-/// Sends a health check on a connection and parses the response.
-async fn probe_on<D: Dialect>(
-    shared: &Shared,
-    mut connection: TargetConnection,
-    target: &Target,
-    health_path: &str,
-) -> Result<(TargetConnection, ProbeReport), String> {
-    let mut headers = HeaderMap::new();
-    let host = HeaderValue::from_str(&target.address.to_string()).map_err(|e| e.to_string())?;
-    headers.insert(header::HOST, host);
-    let req = connection::build_request(Method::GET, health_path, headers, Bytes::new())
-        .map_err(|error| format!("build health check for path {health_path:?}: {error}"))?;
-    shared.metrics.probes.inc();
-    let res = connection
-        .exchange(req, connection::announces_body)
-        .await
-        .map_err(|error| format!("{error:?}"))?;
-    let (head, body) = res.into_parts();
-    let response = D::parse_probe_response(head.status, &head.headers, target.slots);
-    Limited::new(body, MAX_PROBE_BODY_BYTES)
-        .collect()
-        .await
-        .map_err(|error| format!("read health check body: {error}"))?;
-    match response {
-        Some(ProbeResponse { target: Some(name), .. }) if name != target.name => {
-            Err(format!("target {name} responds at the address"))
-        }
-        Some(ProbeResponse { report, wish, .. }) => {
-            shared.note_wish(target, wish);
-            Ok((connection, report))
-        }
-        None => Err("response is not that of a health check".to_string()),
-    }
-}
--- a/ibiscroft-edge/src/filters/select/candidates.rs
+++ b/ibiscroft-edge/src/filters/select/candidates.rs
@@ -31,7 +31,7 @@
     own_zone: Vec<Target>,
     /// Targets of other zones that are not excluded.
     other_zones: Vec<Target>,
-    /// Targets that are excluded because they could not be reached recently.
+    /// Targets that are excluded because this gateway or others could not reach them recently.
     excluded: Vec<Target>,
     /// Targets to which an idle connection is open; `None` if these are not preferred.
     connected: Option<HashSet<TargetName>>,
@@ -69,7 +69,7 @@
                 *earliest = until.min(*earliest);
                 continue;
             }
-            let list = if traffic.health(&target.name).is_excluded(now) {
+            let list = if traffic.is_excluded(now, target) {
                 &mut candidates.excluded
             } else if target.zone == *own_zone {
                 &mut candidates.own_zone
@@ -79,7 +79,7 @@
             list.push(target.clone());
         }
         let instance = shared.settings.instance.as_str();
-        candidates.connected = shared.reuses_connections.then(|| {
+        candidates.connected = shared.has_pool_feature.then(|| {
             let targets = candidates.own_zone.iter().chain(&candidates.other_zones);
             shared.pool.connected(targets.map(|target| &target.name))
         });
--- a/ibiscroft-edge/src/lib.rs
+++ b/ibiscroft-edge/src/lib.rs
@@ -32,6 +32,7 @@
 mod signals;
 mod status_server;
 mod suspects;
+mod target_health;
 
 pub mod events;
 
--- a/ibiscroft-edge/src/mesh.rs
+++ b/ibiscroft-edge/src/mesh.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use eyre::WrapErr;
 use futures_util::{SinkExt, StreamExt};
-use ibiscroft_core::fleet::{FollowerMessage, GatewayCount, Hint, Revision, Update};
+use ibiscroft_core::fleet::{FindingOrigin, FollowerMessage, GatewayCount, Hint, Revision, Update};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::broadcast::error::RecvError;
@@ -25,6 +25,7 @@
 use crate::events::event;
 use crate::feed_hub::{FeedHub, FeedMessage};
 use crate::shared::Shared;
+use crate::target_health;
 
 /// Time for which sent data may stay unacknowledged before the kernel closes the connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -92,6 +93,9 @@
 
 /// Applies a hint of a follower, and forwards it to the source and all followers if they need it.
 pub(crate) fn apply_and_forward_hint(shared: &Shared, hub: &FeedHub, hint: Hint) {
+    let Some(hint) = target_health::take(shared, FindingOrigin::Follower, hint) else {
+        return;
+    };
     // A notice about quotas of a follower is not taken: only sources send them.
     if shared.traffic().on_hint(shared.clock.now(), &hint) {
         event!(HintTaken, "source=follower {hint:?}");
--- a/ibiscroft-edge/src/metrics.rs
+++ b/ibiscroft-edge/src/metrics.rs
@@ -37,6 +37,12 @@
     pub(crate) quota_decisions: IntCounterVec,
     /// Whether notices about quotas arrive, 0 or 1.
     pub(crate) quota_connected: IntGauge,
+    /// Findings about targets, by kind and origin.
+    pub(crate) target_findings: IntCounterVec,
+    /// Trials of targets that are tried last, by result.
+    pub(crate) target_trials: IntCounterVec,
+    /// Targets that are tried last because of findings that gateways share.
+    pub(crate) targets_tried_last: IntGauge,
     /// Requests in flight.
     pub(crate) in_flight: IntGauge,
 }
@@ -98,6 +104,23 @@
                 "edge_quota_connected",
                 "Whether notices about quotas arrive",
             )?,
+            target_findings: counter_vec(
+                &registry,
+                "edge_target_findings_total",
+                "Findings about targets that begin or end a time in which they are tried last",
+                "finding",
+            )?,
+            target_trials: counter_vec(
+                &registry,
+                "edge_target_trials_total",
+                "Trials of targets that are tried last",
+                "result",
+            )?,
+            targets_tried_last: gauge(
+                &registry,
+                "edge_targets_tried_last",
+                "Targets that are tried only if no others are left",
+            )?,
             in_flight: gauge(&registry, "edge_requests_in_flight", "Requests in flight")?,
             registry,
         })
--- a/ibiscroft-edge/src/shared.rs
+++ b/ibiscroft-edge/src/shared.rs
@@ -10,8 +10,8 @@
 use ibiscroft_core::fleet::{
     AttemptOutcome, ColdTargetLimiter, Departure, FleetSize, GatewayCount, Hint, LeavingTargets,
     MAX_REST, ProbeBudget, ProbeReport, Rank, RecentRanks, RestingTargets, RetryLimits,
-    RetryWindow, Revision, Route, SaturationSlowdown, Standing, StopSchedule, Target, TargetHealth,
-    TrafficSplit, View,
+    RetryWindow, Revision, Route, SaturationSlowdown, SharedHealth, Standing, StopSchedule, Target,
+    TargetHealth, TrafficSplit, View,
 };
 use ibiscroft_core::ids::{ServiceName, TargetName};
 use tokio::sync::{mpsc, watch};
@@ -35,7 +35,7 @@
 /// Time after the start of the process until which requests wait for the first configuration;
 /// several times the duration of a listing on a slow link.
 const FIRST_CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(600);
-/// Name of the feature that makes the gateway prefer targets to which a connection is open.
+/// Name of the feature for deployments in which new connections are expensive.
 const POOL_FEATURE: &str = "pool";
 /// Weight of the newest sample in the moving average of the baseline latency.
 const BASELINE_SAMPLE_WEIGHT: f64 = 0.1;
@@ -55,8 +55,9 @@
     pub(crate) metrics: Metrics,
     /// Idle connections to targets.
     pub(crate) pool: ConnectionPool,
-    /// Whether targets to which a connection is open are preferred.
-    pub(crate) reuses_connections: bool,
+    /// Whether the deployment has the feature `pool`: targets to which a connection is open are
+    /// preferred, and findings about targets are shared.
+    pub(crate) has_pool_feature: bool,
     /// Queue of hints for the other gateways, from the traffic thread to the control thread.
     pub(crate) hints: mpsc::Sender<Hint>,
     /// Set once a graceful shutdown has begun.
@@ -101,6 +102,8 @@
     pub(crate) leaving: LeavingTargets,
     /// Targets that asked this gateway to send nothing for some time.
     pub(crate) resting: RestingTargets,
+    /// Findings about targets that gateways share; `None` if the deployment does not.
+    pub(crate) shared_health: Option<SharedHealth>,
     probe_budget: ProbeBudget,
     retry_windows: HashMap<ServiceName, RetryWindow>,
     health: HashMap<TargetName, TargetHealth>,
@@ -129,6 +132,20 @@
         self.health.entry(target.clone()).or_default().note(now, outcome);
     }
 
+    /// Returns whether a target is to be tried only if no others are left.
+    pub(crate) fn is_excluded(&self, now: Tick, target: &Target) -> bool {
+        let shared_health = self.shared_health.as_ref();
+        self.health(&target.name).is_excluded(now)
+            || shared_health.is_some_and(|health| health.is_tried_last(now, target))
+    }
+
+    /// Ends the backoff of a target that another gateway or a trial has reached.
+    pub(crate) fn end_backoff(&mut self, now: Tick, target: &TargetName) {
+        if let Some(health) = self.health.get_mut(target) {
+            health.end_backoff(now);
+        }
+    }
+
     /// Returns the retry window of a service, creating it with `limits` if there is none yet.
     pub(crate) fn retry_window(
         &mut self,
@@ -162,6 +179,8 @@
             Hint::Leaving(departure) => self.leaving.note(now, departure),
             // Notices concern `Quotas`, and only those of the source are taken.
             Hint::Quota(_) => false,
+            // `target_health` takes and forwards findings, as their origin counts.
+            Hint::TargetDown(_) | Hint::TargetUp(_) => false,
         }
     }
 
@@ -229,8 +248,12 @@
         settings: Settings,
         hints: mpsc::Sender<Hint>,
     ) -> Result<Arc<Self>, prometheus::Error> {
+        let has_pool_feature = settings.has_feature(POOL_FEATURE);
+        let shared_health = has_pool_feature.then(|| {
+            SharedHealth::new(settings.instance.clone(), settings.availability_zone.clone())
+        });
         Ok(Arc::new(Self {
-            reuses_connections: settings.has_feature(POOL_FEATURE),
+            has_pool_feature,
             quotas: Quotas::new(settings.quota.unwrap_or_default()),
             settings,
             clock: Clock::start(),
@@ -243,7 +266,7 @@
             has_been_current: AtomicBool::new(false),
             fresh_at_us: AtomicU64::new(0),
             has_configuration: watch::Sender::new(false),
-            traffic: Mutex::default(),
+            traffic: Mutex::new(TrafficState { shared_health, ..TrafficState::default() }),
         }))
     }
 
--- a/ibiscroft-edge/src/suspects.rs
+++ b/ibiscroft-edge/src/suspects.rs
@@ -70,7 +70,7 @@
         match hint {
             Hint::Lost(loss) => self.quarantine.note_peer_loss(now, loss),
             Hint::Answered(request) => self.quarantine.note_peer_response(*request),
-            Hint::Leaving(_) | Hint::Quota(_) => {}
+            Hint::Leaving(_) | Hint::Quota(_) | Hint::TargetDown(_) | Hint::TargetUp(_) => {}
         }
     }
 
