feat: a reset by a full target does not count as its failure

Only with the feature pool. Cause: full targets reset connections, and such resets raised their failure rate. The load reported before the send and its age tell them from others; the age at the time of the reset was ruled out, since a target that crashes while it runs a request has no recent report either. An at-most-once request prefers a target that reported a free slot less than 20 ms ago.

--- a/ibiscroft-core/src/fleet/probe.rs
+++ b/ibiscroft-core/src/fleet/probe.rs
@@ -27,6 +27,10 @@
 /// Additional cost of a target that reports itself as unhealthy. As health checks may be wrong, it
 /// is still used if there is no other.
 const UNHEALTHY_COST: f64 = 20.0;
+/// Age from which a report does not tell whether a slot is still free.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(50);
+/// Age below which a reported free slot is most likely still free.
+const FRESH_REPORT_AGE: Duration = Duration::from_millis(20);
 
 /// Load of a target as reported by a probe.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -52,6 +56,19 @@
         self.running + self.waiting < self.slots.get()
     }
 
+    /// Returns whether the target may be full for a request that is sent `age` after the report. A
+    /// full target may reset the connection.
+    #[must_use]
+    pub fn may_be_full(&self, age: Duration) -> bool {
+        !self.has_free_slot() || age > MAX_REPORT_AGE
+    }
+
+    /// Returns whether the target most likely has a free slot `age` after the report.
+    #[must_use]
+    pub fn likely_has_free_slot(&self, age: Duration) -> bool {
+        self.has_free_slot() && age < FRESH_REPORT_AGE
+    }
+
     /// Returns whether one more request would take the target above its knee, where it slows down
     /// running requests or is queued.
     #[must_use]
@@ -114,6 +131,8 @@
     completed: usize,
     /// Lowest cost so far and the index of its target.
     best: Option<(f64, usize)>,
+    /// Cost and index of each target that has reported.
+    reported: Vec<(f64, usize)>,
 }
 
 impl ProbeSelection {
@@ -143,6 +162,7 @@
         let health_cost = if report.is_healthy { 0.0 } else { UNHEALTHY_COST };
         let cost =
             report.cost(self.slowdown) + extra_cost + failure_rate * FAILURE_WEIGHT + health_cost;
+        self.reported.push((cost, index));
         if self.best.is_none_or(|(lowest, _)| cost < lowest) {
             self.best = Some((cost, index));
         }
@@ -161,6 +181,14 @@
         self.best
     }
 
+    /// Returns the lowest cost of the targets for which `is_preferred` returns true, and the index of
+    /// its target; the lowest of all if there are none.
+    #[must_use]
+    pub fn best_preferred(&self, is_preferred: impl Fn(usize) -> bool) -> Option<(f64, usize)> {
+        let preferred = self.reported.iter().filter(|(_, index)| is_preferred(*index));
+        preferred.copied().min_by(|(a, _), (b, _)| a.total_cmp(b)).or(self.best)
+    }
+
     /// Returns whether the best target is accepted after the given round, counted from 0.
     #[must_use]
     pub fn accepts_best(&self, round: usize) -> bool {
--- a/ibiscroft-core/tests/it/fleet/probing.rs
+++ b/ibiscroft-core/tests/it/fleet/probing.rs
@@ -298,3 +298,43 @@
     health.note(at(0), AttemptOutcome::Succeeded);
     assert!(health.failure_rate(at(0)) < initial);
 }
+
+#[test]
+fn reset_is_that_of_a_full_target_after_a_report_without_a_free_slot_or_an_old_one() {
+    struct Case {
+        running: u32,
+        age_ms: u64,
+        may_be_full: bool,
+        likely_has_free_slot: bool,
+    }
+    let cases = [
+        Case { running: 5, age_ms: 0, may_be_full: false, likely_has_free_slot: true },
+        Case { running: 5, age_ms: 19, may_be_full: false, likely_has_free_slot: true },
+        Case { running: 5, age_ms: 20, may_be_full: false, likely_has_free_slot: false },
+        Case { running: 5, age_ms: 50, may_be_full: false, likely_has_free_slot: false },
+        Case { running: 5, age_ms: 51, may_be_full: true, likely_has_free_slot: false },
+        Case { running: 6, age_ms: 0, may_be_full: true, likely_has_free_slot: false },
+    ];
+    for Case { running, age_ms, may_be_full, likely_has_free_slot } in cases {
+        let (report, age) = (report(running, 0), Duration::from_millis(age_ms));
+        assert_eq!(report.may_be_full(age), may_be_full, "{running} {age_ms}");
+        assert_eq!(report.likely_has_free_slot(age), likely_has_free_slot, "{running} {age_ms}");
+    }
+}
+
+#[test]
+fn preferred_target_is_selected_at_a_higher_cost_and_the_best_one_if_none_is_preferred() {
+    let mut selection = ProbeSelection::default();
+    let slow = ProbeReport { slowness: 2.0, ..report(0, 0) };
+    let slower = ProbeReport { slowness: 3.0, ..report(0, 0) };
+    for (index, report) in [slower, report(0, 0), slow].iter().enumerate() {
+        selection.note_probe_sent();
+        selection.on_report(index, report, 0.0, 0.0);
+    }
+    let selected = |preferred: &[usize]| {
+        selection.best_preferred(|index| preferred.contains(&index)).map(|(_, index)| index)
+    };
+    assert_eq!(selected(&[0, 2]), Some(2));
+    assert_eq!(selected(&[0]), Some(0));
+    assert_eq!(selected(&[]), Some(1));
+}
--- a/ibiscroft-edge/src/connection.rs
+++ b/ibiscroft-edge/src/connection.rs
@@ -43,6 +43,8 @@
     NotSent(String),
     /// The target may have received the request.
     Lost(String),
+    /// The target reset the connection; it may have received the request.
+    Reset(String),
 }
 
 /// An open connection to a target; dropping it closes the connection.
@@ -103,7 +105,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ConnectionError::Lost`] if the target may have received the request, also if its
+    /// Returns [`ConnectionError::Lost`] or, if the target reset the connection,
+    /// [`ConnectionError::Reset`] if the target may have received the request, also if its
     /// response has a status that no final response can have, and [`ConnectionError::NotSent`] if
     /// it cannot have received the request.
     pub(crate) async fn exchange(
@@ -142,9 +145,12 @@
             }
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
-                let detail = error.into_error().to_string();
+                let error = error.into_error();
+                let detail = error.to_string();
                 Err(if is_unsent {
                     ConnectionError::NotSent(detail)
+                } else if is_reset(&error) {
+                    ConnectionError::Reset(detail)
                 } else {
                     ConnectionError::Lost(detail)
                 })
@@ -171,6 +177,13 @@
     }
 }
 
+/// Returns whether an error was caused by a reset of the connection.
+fn is_reset(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let source = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+    source.is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionReset)
+}
+
 /// Builds a request to a target.
 ///
 /// # Errors
--- a/ibiscroft-edge/src/filters/forward.rs
+++ b/ibiscroft-edge/src/filters/forward.rs
@@ -30,6 +30,9 @@
 /// Timeout of the connection attempt that checks whether a target still runs after it lost a
 /// request.
 const LIVENESS_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+/// Cost of a target that reset a connection because it is full, by which it is tried later for a
+/// short time; clearly above the cost from which a target counts as slow.
+const FULL_TARGET_COST: f64 = 5.0;
 /// Maximum number of attempts that fail before any byte is sent and are followed by another one;
 /// they count neither as attempts of the route nor against the retry budget.
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
@@ -98,7 +101,7 @@
             let may_retry = match &error {
                 SendError::NotSent(_) => progress.unsent <= MAX_UNSENT_ATTEMPTS,
                 SendError::Refused(_) => self.try_take_retry(ex, progress),
-                SendError::Lost(_) => {
+                SendError::Lost(_) | SendError::Reset(_) => {
                     ex.route.repeatable.is_repeatable() && self.try_take_retry(ex, progress)
                 }
                 SendError::TimedOut => false,
@@ -124,7 +127,7 @@
         let shared = &self.shared;
         let target = selected.target.clone();
         let name = target.name.clone();
-        let report = selected.report;
+        let SelectedTarget { report, reported_at, .. } = selected;
         progress.attempted.push(name.clone());
         let started = shared.clock.now();
         log_attempt(ex, &selected, progress, started);
@@ -137,16 +140,26 @@
             Err(SendError::NotSent(_)) => AttemptOutcome::Unreachable,
             Err(_) => AttemptOutcome::Failed,
         };
+        let is_full = shared.has_pool_feature
+            && matches!(result, Err(SendError::Reset(_)))
+            && report.may_be_full(started.since(reported_at));
         let mut traffic = shared.traffic();
-        traffic.record_outcome(now, &name, outcome);
+        if is_full {
+            traffic.record_cost(now, &name, FULL_TARGET_COST);
+        } else {
+            traffic.record_outcome(now, &name, outcome);
+        }
         if outcome == AttemptOutcome::Succeeded {
             traffic.record_latency(&ex.latency_class, now.since(started), &report);
         }
-        let is_lost = matches!(result, Err(SendError::Lost(_)));
+        let is_lost = matches!(result, Err(SendError::Lost(_) | SendError::Reset(_)));
         if is_lost {
             traffic.suspects.record_connection_lost(now, ex.fingerprint, &target);
         }
         drop(traffic);
+        if matches!(result, Err(SendError::Refused(Refusal::WrongTarget))) {
+            shared.note_absent(&target);
+        }
         if is_lost {
             tokio::spawn(check_liveness(Arc::clone(shared), target));
         }
@@ -159,7 +172,7 @@
             shared.metrics.send_failures.with_label_values(&[reason]).inc();
             event!(
                 SendFailed,
-                "req={} target={name} reason={reason} ms={} detail={error:?}",
+                "req={} target={name} reason={reason} ms={} full={is_full} detail={error:?}",
                 ex.log_id(),
                 now.since(started).as_millis(),
             );
@@ -321,7 +334,9 @@
                 };
                 Failure::new(FailureKind::Shed, detail).retry_after(delay)
             }
-            SendError::Lost(detail) => Failure::new(FailureKind::ResponseLost, detail),
+            SendError::Lost(detail) | SendError::Reset(detail) => {
+                Failure::new(FailureKind::ResponseLost, detail)
+            }
             SendError::TimedOut => {
                 let ms = ex.route.timeout.as_millis();
                 let detail = format!("no answer before the deadline; the route allows {ms} ms");
@@ -365,6 +380,7 @@
             let now = shared.clock.now();
             let hints = shared.traffic().suspects.record_process_ended(now, &target);
             shared.send_hints(hints);
+            shared.note_absent(&target);
         }
         Ok(Err(error)) => log::debug!("target {}: liveness check failed: {error}", target.name),
         Err(_) => log::debug!("target {}: liveness check timed out", target.name),
@@ -377,7 +393,7 @@
         SendError::NotSent(_) => "not_sent",
         SendError::Refused(Refusal::Shed) => "shed",
         SendError::Refused(Refusal::WrongTarget) => "wrong_target",
-        SendError::Lost(_) => "lost",
+        SendError::Lost(_) | SendError::Reset(_) => "lost",
         SendError::TimedOut => "timed_out",
     }
 }
--- a/ibiscroft-edge/src/filters/select.rs
+++ b/ibiscroft-edge/src/filters/select.rs
@@ -41,6 +41,8 @@
     pub(super) connection: TargetConnection,
     /// The target's response to the probe.
     pub(super) report: ProbeReport,
+    /// When the response was received.
+    pub(super) reported_at: Tick,
     /// Expected latency, in units of the baseline latency.
     pub(super) cost: f64,
     /// Number of targets that were probed.
@@ -93,7 +95,7 @@
     let duration = shared.clock.now().since(started);
     shared.metrics.selection.observe(duration.as_secs_f64());
     let probed = probes.targets.len();
-    let selected = probes.into_selected(shared, &view);
+    let selected = probes.into_selected(shared, &view, ex);
     selected.ok_or(NoTargetSelected { usable, probed, resting_until })
 }
 
@@ -101,8 +103,8 @@
 struct RequestProbes {
     /// Probed targets, in the order of their probes.
     targets: Vec<Target>,
-    /// Connection and report of each target that has responded, at the target's index.
-    results: Vec<Option<(TargetConnection, ProbeReport)>>,
+    /// Connection, report and its time of each target that has responded, at the target's index.
+    results: Vec<Option<(TargetConnection, ProbeReport, Tick)>>,
     /// Choice among the targets by the reports received so far.
     selection: ProbeSelection,
     tx: mpsc::UnboundedSender<CompletedProbe>,
@@ -213,28 +215,47 @@
                     cold_target_quota(shared, view, target, gateways),
                 ));
         drop(traffic);
-        self.results[index] = Some((connection, report));
+        self.results[index] = Some((connection, report, now));
         if !may_send {
             return self.selection.on_failure();
         }
         self.selection.on_report(index, &report, zone_cost, failure_rate)
     }
 
+    /// Returns the cost and index of the target to send to.
+    ///
+    /// A request that must run at most once is not sent again if a full target resets the
+    /// connection, so that a target with a free slot a moment ago is preferred.
+    fn best(&self, shared: &Shared, ex: &Exchange) -> Option<(f64, usize)> {
+        if !shared.has_pool_feature || ex.route.repeatable.is_repeatable() {
+            return self.selection.best();
+        }
+        let now = shared.clock.now();
+        self.selection.best_preferred(|index| {
+            let result = self.results[index].as_ref();
+            result.is_some_and(|(_, report, at)| {
+                report.is_healthy && report.likely_has_free_slot(now.since(*at))
+            })
+        })
+    }
+
     /// Returns the best target, and returns the connections to the others to the pool.
     ///
     /// Returns `None` if no target responded, the best one is no longer usable, or it is cold and
     /// its quota has been used up since the probe.
-    fn into_selected(self, shared: &Shared, view: &View) -> Option<SelectedTarget> {
-        let best = self.selection.best();
+    fn into_selected(self, shared: &Shared, view: &View, ex: &Exchange) -> Option<SelectedTarget> {
+        let best = self.best(shared, ex);
         let probed = self.targets.len();
         let mut selected = None;
         for (index, (target, result)) in self.targets.into_iter().zip(self.results).enumerate() {
-            let Some((connection, report)) = result else {
+            let Some((connection, report, reported_at)) = result else {
                 continue;
             };
             match best {
                 Some((cost, best)) if best == index => {
-                    selected = Some(SelectedTarget { target, connection, report, cost, probed });
+                    let target =
+                        SelectedTarget { target, connection, report, reported_at, cost, probed };
+                    selected = Some(target);
                 }
                 _ => shared.pool.put(&target.name, connection),
             }
--- a/ibiscroft-edge/src/filters/send.rs
+++ b/ibiscroft-edge/src/filters/send.rs
@@ -43,6 +43,8 @@
     Refused(Refusal),
     /// The response was lost or is unusable; the request may have run.
     Lost(String),
+    /// The target reset the connection after the send; the request may have run.
+    Reset(String),
     /// No response arrived before the deadline; the request may have run.
     TimedOut,
 }
@@ -70,6 +72,7 @@
         let res = connection.exchange(req, is_final::<D>).await.map_err(|error| match error {
             ConnectionError::NotSent(detail) => SendError::NotSent(detail),
             ConnectionError::Lost(detail) => SendError::Lost(detail),
+            ConnectionError::Reset(detail) => SendError::Reset(detail),
         })?;
         let (head, body) = res.into_parts();
         let metadata = D::parse_response(head.status, &head.headers, target.slots);
