--- a/ibiscroft-edge/src/lib.rs
+++ b/ibiscroft-edge/src/lib.rs
@@ -35,6 +35,7 @@
 mod signals;
 mod status_server;
 mod suspects;
+mod target_health;
 
 pub mod events;
 
