--- a/ibiscroft-core/src/fleet/quota/ledger.rs
+++ b/ibiscroft-core/src/fleet/quota/ledger.rs
@@ -25,8 +25,6 @@
 const BUSY_PART: f64 = 0.7;
 /// Requests in a window, in multiples of the slack, below which a quota is small.
 const SMALL_QUOTA_SLACKS: f64 = 5.0;
-/// Time in which callers give up, in seconds.
-const BACKLOG_TIME_S: f64 = 3.0;
 /// Ratio of a fraction to the one sent last below which a notice is sent early.
 const URGENT_RATIO: f64 = 0.8;
 /// Time for which a debt is kept at most, in seconds; a wrong report thus blocks an organisation
@@ -45,8 +43,6 @@
     fast: f64,
     /// Requests, decaying with `SLOW_AVERAGE_S`.
     slow: f64,
-    /// Rejected requests whose callers may still want to retry, decaying with `BACKLOG_TIME_S`.
-    backlog: f64,
     /// Fraction in the last notice.
     sent: f64,
     /// Requests that were admitted in the last window, earliest first.
@@ -58,16 +54,7 @@
 impl Bucket {
     fn new(now: Tick, quota: Quota) -> Self {
         let admitted = VecDeque::new();
-        Self {
-            quota,
-            level: 0.0,
-            fast: 0.0,
-            slow: 0.0,
-            backlog: 0.0,
-            sent: 1.0,
-            admitted,
-            known_since: now,
-        }
+        Self { quota, level: 0.0, fast: 0.0, slow: 0.0, sent: 1.0, admitted, known_since: now }
     }
 
     /// Sets the tokens of a new root: a part of the slack, but none of a burst that may have been
@@ -100,7 +87,6 @@
         }
         self.fast *= (-elapsed / FAST_AVERAGE_S).exp();
         self.slow *= (-elapsed / SLOW_AVERAGE_S).exp();
-        self.backlog *= (-elapsed / BACKLOG_TIME_S).exp();
     }
 
     /// Adds requests to the averages.
@@ -110,11 +96,6 @@
         self.slow = (self.slow + offered).min(max);
     }
 
-    /// Adds rejected requests.
-    fn note_rejected(&mut self, rejected: f64) {
-        self.backlog = (self.backlog + rejected).min(self.quota.rate * MAX_DEBT_S);
-    }
-
     /// Adds admitted requests.
     fn note_admitted(&mut self, now: Tick, admitted: f64) {
         self.level = (self.level - admitted).max(-self.quota.rate * MAX_DEBT_S);
@@ -160,13 +141,9 @@
             && self.slow / SLOW_AVERAGE_S > BUSY_PART * tolerance.sustained_rate(self.quota) * share
     }
 
-    /// Returns the time until a token is expected for a caller that is rejected now, in seconds.
-    ///
-    /// The tokens until then go to those who were rejected before. Callers that were told a shorter
-    /// time would return to be rejected again.
-    fn wait_s(&self, now: Tick, share: f64, tolerance: QuotaTolerance) -> f64 {
-        let debt = (-self.level).max(1.0) / (self.quota.rate * share);
-        debt.max(self.backlog / self.earned_rate(now, share, tolerance))
+    /// Returns the time until a token is expected, in seconds.
+    fn wait_s(&self, share: f64) -> f64 {
+        (-self.level).max(1.0) / (self.quota.rate * share)
     }
 }
 
@@ -242,7 +219,6 @@
             };
             bucket.note_admitted(now, f64::from(demand.admitted));
             bucket.note_offered(f64::from(demand.offered));
-            bucket.note_rejected(f64::from(demand.offered.saturating_sub(demand.admitted)));
             let fraction = bucket.fraction(now, self.share, self.tolerance);
             self.is_urgent |= fraction < bucket.sent * URGENT_RATIO;
         }
@@ -261,7 +237,7 @@
         for (organisation, bucket) in &mut self.buckets {
             bucket.sent = bucket.fraction(now, self.share, self.tolerance);
             if bucket.sent < 1.0 || bucket.is_busy(self.share, self.tolerance) {
-                let wait_s = bucket.wait_s(now, self.share, self.tolerance);
+                let wait_s = bucket.wait_s(self.share);
                 let name = organisation.clone();
                 notice.limited.push(LimitedOrganisation::new(name, bucket.sent, wait_s));
             }
