--- a/ibiscroft-core/src/fleet/hint.rs
+++ b/ibiscroft-core/src/fleet/hint.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::leaving_targets::Departure;
+use super::quota::{QuotaNotice, QuotaReport};
+use super::shared_health::TargetFinding;
 use super::target::GatewayCount;
 use crate::quarantine::{Fingerprint, Loss};
 
@@ -15,6 +17,12 @@
     Answered(Fingerprint),
     /// A target announced in a response that it is leaving.
     Leaving(Departure),
+    /// The fractions of requests that the root of the fleet admits; valid only from a source.
+    Quota(QuotaNotice),
+    /// Targets that refused connections, or whose addresses other targets have.
+    TargetDown(Vec<TargetFinding>),
+    /// Targets that respond again.
+    TargetUp(Vec<TargetFinding>),
 }
 
 /// A message from a follower to its source.
@@ -24,4 +32,6 @@
     Gateways(GatewayCount),
     /// An observation of the follower or of one of its own followers.
     Hint(Hint),
+    /// Demand of organisations at the follower and its own followers.
+    Quota(QuotaReport),
 }
--- a/ibiscroft-core/tests/it/fleet/feed.rs
+++ b/ibiscroft-core/tests/it/fleet/feed.rs
@@ -8,7 +8,7 @@
 };
 use ibiscroft_core::ids::{Generation, TargetName};
 
-use super::world::{configuration, delta, full, member, target};
+use super::world::{configuration, delta, full, member, position, target};
 use crate::support::at;
 
 fn fleet() -> Vec<Member> {
@@ -197,12 +197,13 @@
     for case in cases {
         let mut history = UpdateHistory::default();
         if let Some(start) = case.start {
-            history.reset(Revision(start));
+            history.reset(position(0, start));
         }
         for revision in case.pushed {
-            history.push(Revision(revision), revision);
+            history.push(position(0, revision), revision);
         }
-        let missed = history.updates_after(Revision(case.follower)).map(|messages| messages.len());
+        let missed =
+            history.updates_after(position(0, case.follower)).map(|messages| messages.len());
         assert_eq!(missed, case.messages, "{}", case.name);
     }
 }
@@ -223,6 +224,31 @@
     }
 }
 
+/// Guards against followers that miss what was changed and changed back while their source lists the
+/// store: such an update applies to the state before the listing alone.
+#[test]
+fn difference_applies_only_to_the_state_that_it_was_found_from() {
+    struct Case {
+        name: &'static str,
+        revision: u64,
+        is_contiguous: bool,
+    }
+    let cases = [
+        Case { name: "behind", revision: 39, is_contiguous: false },
+        Case { name: "at the state before", revision: 40, is_contiguous: true },
+        Case { name: "ahead of it", revision: 45, is_contiguous: false },
+        Case { name: "at the state after", revision: 50, is_contiguous: true },
+        Case { name: "ahead of both", revision: 60, is_contiguous: true },
+    ];
+    for case in cases {
+        let mut view = View::default();
+        view.apply(at(0), full(case.revision, vec![]));
+        let update = Update { since: Revision(40), is_difference: true, ..delta(50, vec![]) };
+        assert_eq!(view.is_contiguous_with(&update), case.is_contiguous, "{}", case.name);
+        assert_eq!(view.accepts(&update), case.revision <= 50, "{}", case.name);
+    }
+}
+
 /// A gateway that read an outdated listing may already know the entries of a later change. The
 /// change has no effect on its own view, but its followers lack the entries.
 #[test]
@@ -240,16 +266,16 @@
     view.apply(at(0), listing);
     for update in upstream {
         let applied = view.apply(at(1), update.clone());
-        let changes = relay.changes_to_forward(&update, &applied);
+        let changes = relay.changes_to_forward(&view, &update, &applied);
         if update.is_full {
-            history.reset(update.revision);
+            history.reset(update.position());
         } else {
-            history.push(update.revision, Update { changes, ..update });
+            history.push(update.position(), Update { changes, ..update });
         }
     }
     let mut follower = View::default();
     follower.apply(at(0), full(100, vec![config(8), entry(6)]));
-    for update in history.updates_after(Revision(100)).unwrap() {
+    for update in history.updates_after(position(0, 100)).unwrap() {
         follower.apply(at(2), update);
     }
     assert_eq!(follower.configuration_version(), Generation(10));
@@ -271,7 +297,7 @@
     for (update, forwarded) in updates {
         let applied = view.apply(at(0), update.clone());
         assert_eq!(
-            relay.changes_to_forward(&update, &applied).len(),
+            relay.changes_to_forward(&view, &update, &applied).len(),
             forwarded,
             "revision {}",
             update.revision
--- a/ibiscroft-edge/src/connection.rs
+++ b/ibiscroft-edge/src/connection.rs
@@ -7,20 +7,21 @@
 mod head_limit;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, Uri, header};
-use http_body_util::Full;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 use self::head_limit::{HeadLimit, HeadLimitedStream};
+use crate::segments::OutgoingBody;
 
 /// Time for which sent data may stay unacknowledged before the kernel closes the connection;
 /// several times the retransmission timeout within a region.
@@ -41,12 +42,14 @@
     NotSent(String),
     /// The target may have received the request.
     Lost(String),
+    /// The target reset the connection; it may have received the request.
+    Reset(String),
 }
 
 /// An open connection to a target; dropping it closes the connection.
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<OutgoingBody>,
     head_limit: HeadLimit,
     /// Task that reads from and writes to the socket.
     driver: AbortHandle,
@@ -96,19 +99,44 @@
 
     /// Sends a request and waits for the head of its response.
     ///
+    /// An interim response (status 1xx except 101) for whose header fields `is_final` returns true
+    /// ends the wait: the target meant it to be the final one and sends no other.
+    ///
     /// # Errors
     ///
-    /// Returns [`ConnectionError::Lost`] if the target may have received the request, and
-    /// [`ConnectionError::NotSent`] if it cannot have.
+    /// Returns [`ConnectionError::Lost`] or, if the target reset the connection,
+    /// [`ConnectionError::Reset`] if the target may have received the request, also if its
+    /// response has a status that no final response can have, and [`ConnectionError::NotSent`] if
+    /// it cannot have received the request.
     pub(crate) async fn exchange(
         &mut self,
-        req: Request<Full<Bytes>>,
+        mut req: Request<OutgoingBody>,
+        is_final: fn(&HeaderMap) -> bool,
     ) -> Result<Response<Incoming>, ConnectionError> {
         if let Err(error) = self.sender.ready().await {
             return Err(ConnectionError::NotSent(error.to_string()));
         }
         self.head_limit.start();
-        match self.sender.try_send_request(req).await {
+        let final_interim = Arc::new(Notify::new());
+        let notify = Arc::clone(&final_interim);
+        hyper::ext::on_informational(&mut req, move |res| {
+            if is_final(res.headers()) {
+                notify.notify_one();
+            }
+        });
+        let sent = tokio::select! {
+            sent = self.sender.try_send_request(req) => sent,
+            () = final_interim.notified() => {
+                let detail = "an interim response in place of the final one";
+                return Err(ConnectionError::Lost(detail.to_string()));
+            }
+        };
+        match sent {
+            Ok(res) if !is_valid_final(res.status()) => {
+                let status = res.status();
+                let detail = format!("a final response with the status {}", status.as_str());
+                Err(ConnectionError::Lost(detail))
+            }
             Ok(res) => {
                 self.head_limit.lift();
                 self.note_response_head(res.headers());
@@ -116,9 +144,12 @@
             }
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
-                let detail = error.into_error().to_string();
+                let error = error.into_error();
+                let detail = error.to_string();
                 Err(if is_unsent {
                     ConnectionError::NotSent(detail)
+                } else if is_reset(&error) {
+                    ConnectionError::Reset(detail)
                 } else {
                     ConnectionError::Lost(detail)
                 })
@@ -145,6 +176,13 @@
     }
 }
 
+/// Returns whether an error was caused by a reset of the connection.
+fn is_reset(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let source = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+    source.is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionReset)
+}
+
 /// Builds a request to a target.
 ///
 /// # Errors
@@ -154,14 +192,28 @@
     method: Method,
     path_and_query: &str,
     headers: HeaderMap,
-    body: Bytes,
-) -> Result<Request<Full<Bytes>>, http::Error> {
+    body: impl Into<OutgoingBody>,
+) -> Result<Request<OutgoingBody>, http::Error> {
     let uri: Uri = path_and_query.parse()?;
-    let mut req = Request::builder().method(method).uri(uri).body(Full::new(body))?;
+    let mut req = Request::builder().method(method).uri(uri).body(body.into())?;
     *req.headers_mut() = headers;
     Ok(req)
 }
 
+/// Returns whether a final response can have this status.
+///
+/// The HTTP client accepts all codes from 100 to 999, and 101 as that of a final response. Targets
+/// are never asked to switch protocols, since the field for it is hop-by-hop.
+fn is_valid_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
+/// Returns whether the header fields of a response announce a body, which interim responses do not
+/// have.
+pub(crate) fn announces_body(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns whether a `Connection` header field lists `token`.
 fn has_connection_token(headers: &HeaderMap, token: &str) -> bool {
     headers
--- a/ibiscroft-edge/src/daemon.rs
+++ b/ibiscroft-edge/src/daemon.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+use crate::caller_bounds;
 use crate::dialect::Dialect;
 use crate::events::event;
 use crate::feed_hub::FeedHub;
@@ -20,15 +21,18 @@
 use crate::filters::account::Account;
 use crate::filters::forward::Forward;
 use crate::filters::quarantine::Quarantine;
+use crate::filters::quota::LimitByQuota;
 use crate::filters::stop::RefuseWhenStopping;
 use crate::membership::Membership;
 use crate::mesh;
+use crate::quotas;
 use crate::registry::Registry;
 use crate::server::CallerEndpoint;
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::signals::{SignalAction, Signals};
 use crate::status_server::StatusEndpoint;
+use crate::target_health;
 
 /// Interval at which open connections are counted after the last response of a graceful shutdown.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -80,8 +84,11 @@
         }
     };
     let control = async move {
+        let exchange_demand = quotas::exchange(Arc::clone(&shared), hub.clone());
+        let exchange_findings = target_health::exchange(Arc::clone(&shared), hub.clone());
         let serve = mesh::serve(shared, listener, hub);
-        tokio::join!(feeder.run(), membership.run(), serve, forward_hints);
+        let exchange = async { tokio::join!(exchange_demand, exchange_findings) };
+        tokio::join!(feeder.run(), membership.run(), serve, forward_hints, exchange);
     };
     std::thread::Builder::new()
         .name("control".to_string())
@@ -97,14 +104,17 @@
     let status = TcpAcceptor::from_tokio(bind(settings.status_listen).await?)?;
     tokio::spawn(Server::new_with_acceptor(status).run(StatusEndpoint::new(Arc::clone(&shared))));
     tokio::spawn(sweep(Arc::clone(&shared)));
+    tokio::spawn(target_health::try_targets::<D>(Arc::clone(&shared)));
     event!(Started, "instance={} callers={}", settings.instance, settings.caller_listen);
 
     let connections = Arc::new(ConnectionRegistry::default());
+    tokio::spawn(caller_bounds::enforce(Arc::clone(&shared), Arc::clone(&connections)));
     let acceptor = ConnectionAcceptor::new(callers, Arc::clone(&connections))?;
     let forward = Forward::<D>::new(Arc::clone(&shared));
     let quarantine = Quarantine::new(Arc::clone(&shared), forward);
     let refuse = RefuseWhenStopping::new(Arc::clone(&shared), quarantine);
-    let chain = Account::new(Arc::clone(&shared), refuse);
+    let limit = LimitByQuota::new(Arc::clone(&shared), refuse);
+    let chain = Account::new(Arc::clone(&shared), limit);
     let endpoint =
         CallerEndpoint::<D, _>::new(Arc::clone(&shared), chain, Arc::clone(&connections));
     // Offsets from the stop signal.
--- a/ibiscroft-edge/src/lib.rs
+++ b/ibiscroft-edge/src/lib.rs
@@ -10,6 +10,8 @@
 //! gateway, and passes updates on to the gateways that follow this one. A third thread writes the
 //! log.
 
+mod byte_budget;
+mod caller_bounds;
 mod clock;
 mod connection;
 mod connection_pool;
@@ -23,19 +25,24 @@
 mod membership;
 mod mesh;
 mod metrics;
+mod quotas;
 mod registry;
 mod reply;
+mod segments;
 mod server;
 mod settings;
 mod shared;
 mod signals;
 mod status_server;
 mod suspects;
+mod target_health;
 
 pub mod events;
 
 pub use daemon::run;
-pub use dialect::{Dialect, ProbeResponse, Refusal, RequestMetadata, ResponseMetadata, TargetWish};
+pub use dialect::{
+    Credential, Dialect, ProbeResponse, Refusal, RequestMetadata, ResponseMetadata, TargetWish,
+};
 pub use log_sink::start_log_writer;
 pub use registry::{Lease, ListingSample, Registry, RegistryError};
-pub use settings::{RetryBudgetSettings, Settings};
+pub use settings::{QuotaSettings, RetryBudgetSettings, Settings};
--- a/ibiscroft-edge/src/metrics.rs
+++ b/ibiscroft-edge/src/metrics.rs
@@ -33,8 +33,26 @@
     pub(crate) hints_dropped: IntCounter,
     /// Times that a request was held until targets are probed again.
     pub(crate) holds: IntCounter,
+    /// Decisions about requests of organisations with a quota, by kind.
+    pub(crate) quota_decisions: IntCounterVec,
+    /// Whether notices about quotas arrive, 0 or 1.
+    pub(crate) quota_connected: IntGauge,
+    /// Findings about targets, by kind and origin.
+    pub(crate) target_findings: IntCounterVec,
+    /// Trials of targets that are tried last, by result.
+    pub(crate) target_trials: IntCounterVec,
+    /// Targets that are tried last because of findings that gateways share.
+    pub(crate) targets_tried_last: IntGauge,
     /// Requests in flight.
     pub(crate) in_flight: IntGauge,
+    /// Bytes reserved for bodies and responses.
+    pub(crate) bytes_held: IntGauge,
+    /// Bodies that wait for memory.
+    pub(crate) bodies_waiting: IntGauge,
+    /// Open connections of callers.
+    pub(crate) caller_connections: IntGauge,
+    /// Connections of callers closed to keep a bound, by reason.
+    pub(crate) callers_closed: IntCounterVec,
 }
 
 impl Metrics {
@@ -83,6 +101,51 @@
                 "Hints for other gateways that were dropped",
             )?,
             holds: counter(&registry, "edge_requests_held_total", "Waits for a better target")?,
+            quota_decisions: counter_vec(
+                &registry,
+                "edge_quota_decisions_total",
+                "Requests of organisations with a quota",
+                "decision",
+            )?,
+            quota_connected: gauge(
+                &registry,
+                "edge_quota_connected",
+                "Whether notices about quotas arrive",
+            )?,
+            bytes_held: gauge(
+                &registry,
+                "edge_bytes_held",
+                "Bytes reserved for bodies and responses",
+            )?,
+            bodies_waiting: gauge(&registry, "edge_bodies_waiting", "Bodies that wait for memory")?,
+            caller_connections: gauge(
+                &registry,
+                "edge_caller_connections",
+                "Open connections of callers",
+            )?,
+            callers_closed: counter_vec(
+                &registry,
+                "edge_callers_closed_total",
+                "Connections of callers closed to keep a bound",
+                "reason",
+            )?,
+            target_findings: counter_vec(
+                &registry,
+                "edge_target_findings_total",
+                "Findings about targets that begin or end a time in which they are tried last",
+                "finding",
+            )?,
+            target_trials: counter_vec(
+                &registry,
+                "edge_target_trials_total",
+                "Trials of targets that are tried last",
+                "result",
+            )?,
+            targets_tried_last: gauge(
+                &registry,
+                "edge_targets_tried_last",
+                "Targets that are tried only if no others are left",
+            )?,
             in_flight: gauge(&registry, "edge_requests_in_flight", "Requests in flight")?,
             registry,
         })
