--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -107,8 +107,6 @@
             ("{{bounds.probes_per_s|json}}", "60".to_string()),
             ("{{limits.cpu_share|json}}", "0.2".to_string()),
             ("{{limits.link_mbps|json}}", "1000.0".to_string()),
-            ("{{limits.memory_mb|json}}", MEMORY_MB.to_string()),
-            ("{{limits.max_fds|json}}", "1024".to_string()),
             ("{{bounds.grace_s|json}}", grace_s.to_string()),
         ];
         let mut text = template;
