feat(edge): responses that no handler gave are counted, 404 states the age of the view

The listener counts responses that are sent while no request is due one (edge_callers_closed_total{reason="unhandled"}, event 6111). A request on an unregistered connection is logged (event 6114) and counted as connection_unknown. RequestRefused for no_route states how long ago the view was current. No change of behaviour.

--- a/ibiscroft-edge/src/caller_bounds.rs
+++ b/ibiscroft-edge/src/caller_bounds.rs
@@ -60,6 +60,7 @@
     refused: u64,
     heads: u64,
     stalled: u64,
+    unhandled: u64,
 }
 
 /// Enforces the bounds periodically, by the configuration in force.
@@ -103,6 +104,7 @@
         refused: bounds.refused_count(),
         heads: bounds.refused_head_count(),
         stalled: shared.bytes.ended_count(),
+        unhandled: bounds.unhandled_count(),
     };
     if closed == *reported {
         return;
@@ -111,11 +113,20 @@
     let refused = closed.refused - reported.refused;
     let heads = closed.heads - reported.heads;
     let stalled = closed.stalled - reported.stalled;
-    let counts =
-        [("evicted", evicted), ("refused", refused), ("head", heads), ("stalled", stalled)];
+    let unhandled = closed.unhandled - reported.unhandled;
+    let counts = [
+        ("evicted", evicted),
+        ("refused", refused),
+        ("head", heads),
+        ("stalled", stalled),
+        ("unhandled", unhandled),
+    ];
     for (reason, count) in counts {
         shared.metrics.callers_closed.with_label_values(&[reason]).inc_by(count);
     }
-    event!(CallersClosed, "evicted={evicted} refused={refused} heads={heads} stalled={stalled}");
+    event!(
+        CallersClosed,
+        "evicted={evicted} refused={refused} heads={heads} stalled={stalled} unhandled={unhandled}"
+    );
     *reported = closed;
 }
--- a/ibiscroft-edge/src/filters/identify.rs
+++ b/ibiscroft-edge/src/filters/identify.rs
@@ -58,7 +58,11 @@
     let host = host(req.original_uri(), req.headers()).to_string();
     let path = req.original_uri().path();
     let Some(route) = configuration.route(&host, path).cloned() else {
-        let detail = format!("host {host:?}, path {path:?}, version {}", configuration.version);
+        let detail = format!(
+            "host {host:?}, path {path:?}, version {}, {}",
+            configuration.version,
+            staleness_text(staleness),
+        );
         return Err(Failure::new(FailureKind::NoRoute, detail));
     };
     let credential = D::parse_credential(req.headers());
@@ -107,6 +111,15 @@
     })
 }
 
+/// Describes how long ago the configuration was known to be the newest one.
+fn staleness_text(staleness: Duration) -> String {
+    if staleness == Duration::MAX {
+        "never known to be current".to_string()
+    } else {
+        format!("current {} ms ago", staleness.as_millis())
+    }
+}
+
 /// Removes hop-by-hop header fields, including those named by `Connection`, and `Content-Length`,
 /// which is set again when the message is sent.
 pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
--- a/ibiscroft-edge/src/server.rs
+++ b/ibiscroft-edge/src/server.rs
@@ -123,6 +123,8 @@
 
     async fn call(&self, req: Request) -> poem::Result<Response> {
         let Some(connection) = self.connections.for_request(&req) else {
+            self.shared.metrics.requests.with_label_values(&["connection_unknown"]).inc();
+            event!(ConnectionUnknown, "caller={}", req.remote_addr());
             return Ok(caller_left());
         };
         let request = connection.begin_request();
--- a/ibiscroft-listener/src/activity.rs
+++ b/ibiscroft-listener/src/activity.rs
@@ -8,6 +8,9 @@
 /// First bytes of a connection with HTTP/2.
 const HTTP2_PREFACE: &[u8] = b"PRI ";
 
+/// Start of a response.
+const RESPONSE_START: &[u8] = b"HTTP/1.";
+
 /// Phase of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -39,6 +42,8 @@
     pub(crate) paused_reader: Option<Waker>,
     /// Bytes that the kernel has taken for the caller.
     pub(crate) sent: SentBytes,
+    /// Whether a handler has begun to process a request whose response has not been sent.
+    is_response_due: bool,
 }
 
 impl Activity {
@@ -53,6 +58,7 @@
             is_write_blocked: false,
             paused_reader: None,
             sent: SentBytes::default(),
+            is_response_due: false,
         }
     }
 
@@ -81,6 +87,17 @@
         self.since = Instant::now();
         self.head_bytes = 0;
         self.is_head_full = false;
+        self.is_response_due |= phase == Phase::Handling;
+    }
+
+    /// Records bytes that the server sends; returns whether they are a response to a request that
+    /// no handler has processed.
+    pub(crate) fn note_sent(&mut self, bytes: &[u8]) -> bool {
+        if !bytes.starts_with(RESPONSE_START) {
+            return false;
+        }
+        let was_due = std::mem::replace(&mut self.is_response_due, false);
+        !was_due && self.phase != Phase::Handling
     }
 
     /// Records whether the kernel took bytes for the caller.
--- a/ibiscroft-listener/src/bounds.rs
+++ b/ibiscroft-listener/src/bounds.rs
@@ -10,6 +10,7 @@
     evicted: AtomicU64,
     refused: AtomicU64,
     refused_heads: AtomicU64,
+    unhandled: AtomicU64,
 }
 
 impl Default for ConnectionBounds {
@@ -20,6 +21,7 @@
             evicted: AtomicU64::new(0),
             refused: AtomicU64::new(0),
             refused_heads: AtomicU64::new(0),
+            unhandled: AtomicU64::new(0),
         }
     }
 }
@@ -55,6 +57,12 @@
         self.refused_heads.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of requests that the HTTP server refused before a handler processed them.
+    #[must_use]
+    pub fn unhandled_count(&self) -> u64 {
+        self.unhandled.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn max_open(&self) -> usize {
         self.max_open.load(Ordering::Relaxed)
     }
@@ -74,4 +82,8 @@
     pub(crate) fn count_refused_head(&self) {
         self.refused_heads.fetch_add(1, Ordering::Relaxed);
     }
+
+    pub(crate) fn count_unhandled(&self) {
+        self.unhandled.fetch_add(1, Ordering::Relaxed);
+    }
 }
--- a/ibiscroft-listener/src/connection.rs
+++ b/ibiscroft-listener/src/connection.rs
@@ -290,6 +290,9 @@
         activity.note_write(written.is_pending());
         if let Poll::Ready(Ok(count)) = written {
             activity.sent.add(count);
+            if activity.note_sent(&buf[..count]) {
+                self.bounds.count_unhandled();
+            }
         }
         written
     }
