--- a/ibiscroft-listener/tests/it/main.rs
+++ b/ibiscroft-listener/tests/it/main.rs
@@ -8,8 +8,9 @@
 use bytes::Bytes;
 use futures_util::stream;
 use ibiscroft_listener::{ConnectionAcceptor, ConnectionRegistry, close_on_error};
+use poem::listener::Acceptor;
 use poem::{Body, Request, Response, Server, endpoint};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::mpsc;
 
 /// Serves `/fail` with a body that fails after its first piece, and any other path with a body that
@@ -78,3 +79,38 @@
         assert_eq!(notified, Ok(Some(())), "{}", case.name);
     }
 }
+
+/// Guards against requests that find no connection, because an earlier connection from the same
+/// address ended after theirs was accepted.
+#[tokio::test]
+async fn connection_stays_registered_when_an_earlier_one_from_its_address_ends() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let connections = Arc::new(ConnectionRegistry::default());
+    let mut acceptor = ConnectionAcceptor::new(listener, Arc::clone(&connections)).unwrap();
+    let connect = async |local: Option<SocketAddr>| {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        // A reset frees the address at once.
+        socket.set_zero_linger().unwrap();
+        if let Some(local) = local {
+            socket.bind(local).unwrap();
+        }
+        socket.connect(address).await.unwrap()
+    };
+    let caller = connect(None).await;
+    let local = caller.local_addr().unwrap();
+    let (earlier, ..) = acceptor.accept().await.unwrap();
+    drop(caller);
+    let _caller = connect(Some(local)).await;
+    let (later, ..) = acceptor.accept().await.unwrap();
+    assert_eq!(connections.open_count(), 1);
+    drop(earlier);
+    // The earlier connection is removed at once or by a task.
+    for _ in 0..100 {
+        tokio::task::yield_now().await;
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(connections.open_count(), 1, "the later connection is open");
+    drop(later);
+}
