fix(edge): a configuration that may be outdated refuses no request for good

What callers saw: 404 for a route, 401 for a missing or repeated credential and 413 for a body, from a gateway whose configuration was older than the one that allows the request. Callers do not retry after these.

Cause: only an unknown API key was compared with the age of the view. All other refusals that follow from the configuration were given at any age, also by gateways that knew their view to be out of date: cut off, with a store that does not respond, or while a large configuration is on its way.

Change: refusals that a newer configuration may lift are made in one place (`identify/currency.rs`). Beyond 2 s of staleness they are 503 with Retry-After, which is true: nothing has run. Below, nothing changes.

--- a/ibiscroft-edge/src/filters/identify.rs
+++ b/ibiscroft-edge/src/filters/identify.rs
@@ -1,6 +1,7 @@
 //! Reads a caller's request and determines its route and service.
 
 mod body;
+mod currency;
 mod organisation;
 
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use poem::Request;
 
 use self::body::read_body;
+use self::currency::Currency;
 use self::organisation::Identity;
 use crate::dialect::Dialect;
 use crate::exchange::Exchange;
@@ -40,7 +42,8 @@
 ///
 /// Returns the failure for the caller if there is no configuration, no route matches, the route
 /// needs an API key and the request has none that is known, the route names no service, a header
-/// field or the body is malformed, or the body is too large or late.
+/// field or the body is malformed, or the body is too large or late. What a newer configuration
+/// may allow is refused as `NotReady` unless the configuration is known to be current.
 pub(crate) async fn identify<D: Dialect>(
     req: &mut Request,
     shared: &Shared,
@@ -53,21 +56,18 @@
         let detail = "no configuration is known yet";
         return Err(Failure::new(FailureKind::NotReady, detail).retry_after(NOT_READY_RETRY_AFTER));
     };
+    let currency = Currency { version: configuration.version, staleness };
     let metadata = D::parse_request(req.headers())
         .map_err(|reason| Failure::new(FailureKind::BadRequest, reason))?;
     let host = host(req.original_uri(), req.headers()).to_string();
     let path = req.original_uri().path();
     let Some(route) = configuration.route(&host, path).cloned() else {
-        let detail = format!(
-            "host {host:?}, path {path:?}, version {}, {}",
-            configuration.version,
-            staleness_text(staleness),
-        );
-        return Err(Failure::new(FailureKind::NoRoute, detail));
+        let reason = format!("host {host:?}, path {path:?}");
+        return Err(currency.refusal(FailureKind::NoRoute, &reason));
     };
     let credential = D::parse_credential(req.headers());
     let Identity { organisation, priority } =
-        organisation::identify(configuration, &route, credential, staleness)?;
+        organisation::identify(configuration, &route, credential, currency)?;
     let service = shared.traffic().split.next(&route, rand::random());
     let Some(service) = service else {
         let detail = format!("route {} names no service", route.name);
@@ -81,7 +81,8 @@
     let path_and_query = path_and_query.map_or_else(|| "/".to_string(), ToString::to_string);
     let method = req.method().clone();
     let deadline = received + timeout;
-    let body = read_body(req, shared, configuration.limits.body_bytes, deadline).await?;
+    let body_limit = configuration.limits.body_bytes;
+    let body = read_body(req, shared, body_limit, currency, deadline).await?;
     let caller = req.remote_addr().as_socket_addr().map(|address| address.ip().to_string());
     let caller = caller.unwrap_or_default();
     let parts =
@@ -111,15 +112,6 @@
     })
 }
 
-/// Describes how long ago the configuration was known to be the newest one.
-fn staleness_text(staleness: Duration) -> String {
-    if staleness == Duration::MAX {
-        "never known to be current".to_string()
-    } else {
-        format!("current {} ms ago", staleness.as_millis())
-    }
-}
-
 /// Removes hop-by-hop header fields, including those named by `Connection`, and `Content-Length`,
 /// which is set again when the message is sent.
 pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
--- a/ibiscroft-edge/src/filters/identify/body.rs
+++ b/ibiscroft-edge/src/filters/identify/body.rs
@@ -9,6 +9,7 @@
 use ibiscroft_core::fleet::ByteShare;
 use poem::Request;
 
+use super::currency::Currency;
 use crate::byte_budget::{Holder, HolderEnded};
 use crate::reply::{Failure, FailureKind};
 use crate::segments::{FIRST_SEGMENT_BYTES, RequestBody, SEGMENT_BYTES, SegmentBuffer};
@@ -17,7 +18,8 @@
 /// Retry time for callers whose body found no memory.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Reads the complete request body of at most `limit` bytes.
+/// Reads the complete request body of at most `limit` bytes, the limit of the configuration
+/// described by `currency`.
 ///
 /// # Errors
 ///
@@ -27,6 +29,7 @@
     req: &mut Request,
     shared: &Shared,
     limit: usize,
+    currency: Currency,
     deadline: Tick,
 ) -> Result<RequestBody, Failure> {
     let content_length = req.headers().get(header::CONTENT_LENGTH);
@@ -36,13 +39,13 @@
         return Ok(RequestBody::default());
     }
     if content_length.is_some_and(|size| size > limit) {
-        return Err(too_large(limit));
+        return Err(too_large(limit, currency));
     }
     let holder = shared.bytes.open();
     let read = async {
         tokio::select! {
             () = holder.ended() => Err(HolderEnded.into()),
-            buf = receive(req, &holder, content_length, limit) => buf,
+            buf = receive(req, &holder, content_length, limit, currency) => buf,
         }
     };
     let buf = match tokio::time::timeout_at(shared.clock.instant(deadline), read).await {
@@ -70,6 +73,7 @@
     holder: &Holder,
     content_length: Option<usize>,
     limit: usize,
+    currency: Currency,
 ) -> Result<SegmentBuffer, Failure> {
     if let Some(length) = content_length {
         let share = if length <= SEGMENT_BYTES { ByteShare::Small } else { ByteShare::Bulk };
@@ -87,7 +91,7 @@
         let mut chunk: Bytes = chunk
             .map_err(|error| Failure::new(FailureKind::BadRequest, format!("body: {error}")))?;
         if buf.len() + chunk.len() > limit {
-            return Err(too_large(limit));
+            return Err(too_large(limit, currency));
         }
         holder.note_progress();
         while !chunk.is_empty() {
@@ -124,6 +128,7 @@
     headers.contains_key(header::TRANSFER_ENCODING)
 }
 
-fn too_large(limit: usize) -> Failure {
-    Failure::new(FailureKind::BodyTooLarge, format!("at most {limit} bytes are accepted"))
+fn too_large(limit: usize, currency: Currency) -> Failure {
+    let reason = format!("at most {limit} bytes are accepted");
+    currency.refusal(FailureKind::BodyTooLarge, &reason).closing_connection()
 }
--- a/ibiscroft-edge/src/reply.rs
+++ b/ibiscroft-edge/src/reply.rs
@@ -120,12 +120,16 @@
     pub(crate) detail: String,
     /// Time after which the caller may retry.
     pub(crate) retry_after: Option<Duration>,
+    /// Whether the connection is closed after the response because the rest of the request is not
+    /// read.
+    closes_connection: bool,
 }
 
 impl Failure {
     /// Creates a failure without a retry time.
     pub(crate) fn new(kind: FailureKind, detail: impl Into<String>) -> Self {
-        Self { kind, detail: detail.into(), retry_after: None }
+        let closes_connection = kind.closes_connection();
+        Self { kind, detail: detail.into(), retry_after: None, closes_connection }
     }
 
     /// Sets the time after which the caller may retry.
@@ -135,6 +139,13 @@
         self
     }
 
+    /// Closes the connection after the response.
+    #[must_use]
+    pub(crate) fn closing_connection(mut self) -> Self {
+        self.closes_connection = true;
+        self
+    }
+
     /// Returns the response to the caller.
     pub(crate) fn response(&self) -> Response {
         let mut res = Response::builder()
@@ -144,7 +155,7 @@
         if self.kind == FailureKind::Unauthorized {
             res.headers_mut().insert(header::WWW_AUTHENTICATE, CHALLENGE);
         }
-        if self.kind.closes_connection() {
+        if self.closes_connection {
             res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         let delay = self.retry_after.map(|delay| format!("{:.3}", delay.as_secs_f64()));
