fix(edge): a caller that closes its sending half gets no status 400

What callers saw: 400 in answer to a whole, proper request, if they had closed their sending half behind it and still read.

Cause: when the sending half of a caller closes, the handler ends and returns a placeholder with status 400 to the HTTP server, "never sent" by its comment. It is sent: only the receiving side of the connection has ended. Whether such a caller has left or still reads cannot be told, and a caller that has left must cause no work, so the request is not processed; but it must not be called wrong.

Change: the connection is closed before the placeholder is returned, which promises nothing, and callers may retry.

`caller_that_closes_its_sending_half_is_not_told_that_its_request_is_wrong` failed before (400 for GET).

--- a/ibiscroft-edge/src/server.rs
+++ b/ibiscroft-edge/src/server.rs
@@ -131,7 +131,11 @@
         let (reply, slot) = tokio::select! {
             // First, so that no request behind others is started for a caller that has left.
             biased;
-            () = connection.ended() => return Ok(caller_left()),
+            () = connection.ended() => {
+                // A caller that has closed only its sending half would receive the placeholder.
+                connection.close();
+                return Ok(caller_left());
+            }
             reply = self.serve(req) => reply,
         };
         let mut res = Self::respond(reply, &connection, request, slot);
