fix(listener): an ended connection does not remove a later one from its address

What callers would see: 400 in answer to a proper request. A handler finds its connection by the caller's address. An ended connection was removed by that address too, up to 0.5 s after the server closed it, and with it the entry of a later connection from the same address and port. Requests on that one were then taken for those of a caller that has left. It was also no longer counted, evicted or closed.

Change: a connection removes only its own entry.

`connection_stays_registered_when_an_earlier_one_from_its_address_ends` failed before (0 of 1 registered) and passed 8 of 8 times after.

--- a/ibiscroft-listener/src/acceptor.rs
+++ b/ibiscroft-listener/src/acceptor.rs
@@ -107,10 +107,10 @@
             Ok(runtime) if is_closed_by_server => {
                 runtime.spawn(async move {
                     connection.linger().await;
-                    connections.remove(peer);
+                    connections.remove(peer, &connection);
                 });
             }
-            _ => connections.remove(peer),
+            _ => connections.remove(peer, &connection),
         }
     }
 }
--- a/ibiscroft-listener/src/connections.rs
+++ b/ibiscroft-listener/src/connections.rs
@@ -89,7 +89,11 @@
         self.peak.fetch_max(open.len(), Ordering::Relaxed);
     }
 
-    pub(crate) fn remove(&self, peer: SocketAddr) {
-        self.open.write().unwrap_or_else(PoisonError::into_inner).remove(&peer);
+    /// Removes a connection unless a later one from the same address has taken its place.
+    pub(crate) fn remove(&self, peer: SocketAddr, connection: &Arc<Connection>) {
+        let mut open = self.open.write().unwrap_or_else(PoisonError::into_inner);
+        if open.get(&peer).is_some_and(|registered| Arc::ptr_eq(registered, connection)) {
+            open.remove(&peer);
+        }
     }
 }
--- a/ibiscroft-listener/tests/it/main.rs
+++ b/ibiscroft-listener/tests/it/main.rs
@@ -88,21 +88,20 @@
     let address = listener.local_addr().unwrap();
     let connections = Arc::new(ConnectionRegistry::default());
     let mut acceptor = ConnectionAcceptor::new(listener, Arc::clone(&connections)).unwrap();
-    let connect = async |local: Option<SocketAddr>| {
+    let connect = async |local: SocketAddr| {
         let socket = TcpSocket::new_v4().unwrap();
         socket.set_reuseaddr(true).unwrap();
         // A reset frees the address at once.
         socket.set_zero_linger().unwrap();
-        if let Some(local) = local {
-            socket.bind(local).unwrap();
-        }
+        socket.bind(local).unwrap();
         socket.connect(address).await.unwrap()
     };
-    let caller = connect(None).await;
+    // No other test or process binds ports of this address.
+    let caller = connect(SocketAddr::from(([127, 0, 0, 37], 0))).await;
     let local = caller.local_addr().unwrap();
     let (earlier, ..) = acceptor.accept().await.unwrap();
     drop(caller);
-    let _caller = connect(Some(local)).await;
+    let _caller = connect(local).await;
     let (later, ..) = acceptor.accept().await.unwrap();
     assert_eq!(connections.open_count(), 1);
     drop(earlier);
