fix(listener): the size of a head alone limits its header fields

What callers saw: 431 for a request with more than 100 header fields, 0.6 kB of the 16 KiB that `max_header_bytes` allows.

Cause: the HTTP library refuses heads with more than 100 fields by itself, before a handler sees them, and poem's server exposes none of the library's settings. The listener's own limit is the size.

Change: `ibiscroft_listener::Server` serves the callers of the edge daemon with room for as many fields as the size admits (a field has 4 bytes at least). It keeps the connection with the request, so that handlers need not look it up by address, and serves HTTP/1.1 only, as before with a limit on heads. On a graceful stop it closes idle connections and gives requests in flight the same time as before.

`number_of_header_fields_is_limited_only_by_their_size` failed before at 101 fields and passes with 90, 101, 400 and 1,500. All 89 process tests passed, among them those of stop and pipelining.

ibiscroft-gateway still uses poem's server with its 100 fields.

--- a/ibiscroft-edge/src/daemon.rs
+++ b/ibiscroft-edge/src/daemon.rs
@@ -7,8 +7,7 @@
 use eyre::WrapErr;
 use ibiscroft_core::Tick;
 use ibiscroft_core::fleet::{Hint, StopSchedule};
-use ibiscroft_listener::{ConnectionAcceptor, ConnectionRegistry};
-use poem::Server;
+use ibiscroft_listener::{ConnectionAcceptor, ConnectionRegistry, Server};
 use poem::listener::TcpAcceptor;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -102,7 +101,8 @@
     let settings = &shared.settings;
     let callers = bind(settings.caller_listen).await?;
     let status = TcpAcceptor::from_tokio(bind(settings.status_listen).await?)?;
-    tokio::spawn(Server::new_with_acceptor(status).run(StatusEndpoint::new(Arc::clone(&shared))));
+    let status_server = poem::Server::new_with_acceptor(status);
+    tokio::spawn(status_server.run(StatusEndpoint::new(Arc::clone(&shared))));
     tokio::spawn(sweep(Arc::clone(&shared)));
     tokio::spawn(target_health::try_targets::<D>(Arc::clone(&shared)));
     event!(Started, "instance={} callers={}", settings.instance, settings.caller_listen);
@@ -121,8 +121,8 @@
     let offsets = StopSchedule::new(Tick::ZERO, settings.stop_grace());
     let drain_timeout = offsets.closes_at().since(offsets.listens_until());
     let stop = wait_for_stop(Arc::clone(&shared), settings_file, Signals::new()?);
-    Server::new_with_acceptor(acceptor)
-        .run_with_graceful_shutdown(endpoint, stop, Some(drain_timeout))
+    Server::new(acceptor)
+        .run_until(endpoint, stop, drain_timeout)
         .await
         .wrap_err("serve callers")?;
     wait_for_callers_to_close(&connections, offsets.caller_close_timeout()).await;
--- a/ibiscroft-listener/src/acceptor.rs
+++ b/ibiscroft-listener/src/acceptor.rs
@@ -97,6 +97,13 @@
     connections: Arc<ConnectionRegistry>,
 }
 
+impl ConnectionStream {
+    /// Returns the connection of the stream.
+    pub(crate) const fn connection(&self) -> &Arc<Connection> {
+        &self.connection
+    }
+}
+
 impl Drop for ConnectionStream {
     fn drop(&mut self) {
         let connections = Arc::clone(&self.connections);
--- a/ibiscroft-listener/src/connections.rs
+++ b/ibiscroft-listener/src/connections.rs
@@ -24,6 +24,9 @@
     /// Returns the connection on which a request arrived, or `None` if it is no longer open.
     #[must_use]
     pub fn for_request(&self, req: &Request) -> Option<Arc<Connection>> {
+        if let Some(connection) = req.extensions().get::<Arc<Connection>>() {
+            return Some(Arc::clone(connection));
+        }
         let peer = req.remote_addr().as_socket_addr()?;
         let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
         open.get(peer).cloned()
--- a/ibiscroft-listener/src/lib.rs
+++ b/ibiscroft-listener/src/lib.rs
@@ -12,6 +12,7 @@
 mod connection;
 mod connections;
 mod send_window;
+mod server;
 
 pub use acceptor::{ConnectionAcceptor, ConnectionStream};
 pub use body::close_on_error;
@@ -19,3 +20,4 @@
 pub use connection::{Connection, RequestGuard};
 pub use connections::ConnectionRegistry;
 pub use send_window::SendWindow;
+pub use server::Server;
--- /dev/null
+++ b/ibiscroft-listener/src/server.rs
@@ -0,0 +1,128 @@
+//! HTTP/1.1 server for the connections of an acceptor.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::uri::Scheme;
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use poem::listener::Acceptor;
+use poem::web::{LocalAddr, RemoteAddr};
+use poem::{Endpoint, Request};
+use tokio::sync::watch;
+
+use crate::acceptor::{ConnectionAcceptor, ConnectionStream};
+
+/// Size of the shortest header field, in bytes: a name of one character, a colon and the end of the
+/// line.
+const MIN_FIELD_BYTES: usize = 4;
+/// Size of a request head for whose header fields there is room if the listener has no limit.
+const DEFAULT_HEAD_BYTES: usize = 16 << 10;
+
+/// What connections do; the order of the variants is the order in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    /// Requests are served.
+    Serving,
+    /// Requests in flight are completed, and their connections are closed.
+    Draining,
+    /// All connections are closed.
+    Ended,
+}
+
+/// HTTP/1.1 server whose only limit on the header fields of a request is the size of the head that
+/// the listener accepts.
+#[derive(Debug)]
+pub struct Server {
+    acceptor: ConnectionAcceptor,
+}
+
+impl Server {
+    /// Creates a server for the connections of `acceptor`.
+    #[must_use]
+    pub const fn new(acceptor: ConnectionAcceptor) -> Self {
+        Self { acceptor }
+    }
+
+    /// Serves requests with `endpoint` until `stop` completes. Then no connection is accepted, idle
+    /// ones are closed, and those with a request in flight get `drain_timeout` to complete it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a connection cannot be accepted for a reason that lasts.
+    pub async fn run_until<E: Endpoint + 'static>(
+        mut self,
+        endpoint: E,
+        stop: impl Future<Output = ()>,
+        drain_timeout: Duration,
+    ) -> io::Result<()> {
+        let endpoint = Arc::new(endpoint);
+        let phase = watch::Sender::new(Phase::Serving);
+        let mut stop = pin!(stop);
+        loop {
+            tokio::select! {
+                () = &mut stop => break,
+                accepted = self.acceptor.accept() => {
+                    let (stream, local, remote, _) = accepted?;
+                    let endpoint = Arc::clone(&endpoint);
+                    tokio::spawn(serve(stream, local, remote, endpoint, phase.subscribe()));
+                }
+            }
+        }
+        drop(self.acceptor);
+        phase.send_replace(Phase::Draining);
+        if tokio::time::timeout(drain_timeout, phase.closed()).await.is_err() {
+            phase.send_replace(Phase::Ended);
+        }
+        Ok(())
+    }
+}
+
+/// Serves the requests of one connection.
+async fn serve<E: Endpoint>(
+    stream: ConnectionStream,
+    local: LocalAddr,
+    remote: RemoteAddr,
+    endpoint: Arc<E>,
+    mut phase: watch::Receiver<Phase>,
+) {
+    let connection = Arc::clone(stream.connection());
+    let max_head_bytes = match connection.bounds().max_head_bytes() {
+        usize::MAX => DEFAULT_HEAD_BYTES,
+        bytes => bytes,
+    };
+    let service = service_fn(|req: http::Request<Incoming>| {
+        let mut req = Request::from((req, local.clone(), remote.clone(), Scheme::HTTP));
+        req.extensions_mut().insert(Arc::clone(&connection));
+        async { Ok::<_, Infallible>(http::Response::from(endpoint.get_response(req).await)) }
+    });
+    let mut server = pin!(
+        Builder::new()
+            .max_headers(max_head_bytes / MIN_FIELD_BYTES)
+            .serve_connection(TokioIo::new(stream), service)
+    );
+    let result = tokio::select! {
+        result = server.as_mut() => result,
+        () = wait_for(&mut phase, Phase::Draining) => {
+            server.as_mut().graceful_shutdown();
+            tokio::select! {
+                result = server.as_mut() => result,
+                () = wait_for(&mut phase, Phase::Ended) => return,
+            }
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("connection of {remote} ended: {error}");
+    }
+}
+
+/// Waits until the server has reached a phase or has returned.
+async fn wait_for(phase: &mut watch::Receiver<Phase>, reached: Phase) {
+    let _ = phase.wait_for(|phase| *phase >= reached).await;
+}
