fix(listener): the memory for header fields does not grow with the limit on heads

The maximum is now 4,096 fields, all that a head of 16 KiB can have. With a larger limit on heads, 431 is given beyond 4,096 fields.

--- a/ibiscroft-listener/src/connection.rs
+++ b/ibiscroft-listener/src/connection.rs
@@ -96,11 +96,6 @@
         RequestGuard(Arc::clone(self))
     }
 
-    /// Returns the bounds of the listener.
-    pub(crate) fn bounds(&self) -> &ConnectionBounds {
-        &self.bounds
-    }
-
     /// Returns since when no handler has processed a request and the caller has neither completed
     /// a request head nor received bytes; `None` while a handler runs or after the end.
     pub(crate) fn unused_since(&self) -> Option<Instant> {
--- a/ibiscroft-listener/src/server.rs
+++ b/ibiscroft-listener/src/server.rs
@@ -19,11 +19,9 @@
 
 use crate::acceptor::{ConnectionAcceptor, ConnectionStream};
 
-/// Size of the shortest header field, in bytes: a name of one character, a colon and the end of the
-/// line.
-const MIN_FIELD_BYTES: usize = 4;
-/// Size of a request head for whose header fields there is room if the listener has no limit.
-const DEFAULT_HEAD_BYTES: usize = 16 << 10;
+/// Maximum number of header fields of a request: as many as fit into a head of 16 KiB, as the
+/// shortest one has 4 bytes. The HTTP library reserves memory for all of them for each head.
+const MAX_HEADER_FIELDS: usize = 4_096;
 
 /// What connections do; the order of the variants is the order in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -36,8 +34,7 @@
     Ended,
 }
 
-/// HTTP/1.1 server whose only limit on the header fields of a request is the size of the head that
-/// the listener accepts.
+/// HTTP/1.1 server with room for the header fields of any request head of up to 16 KiB.
 #[derive(Debug)]
 pub struct Server {
     acceptor: ConnectionAcceptor,
@@ -93,10 +90,6 @@
     mut phase: watch::Receiver<Phase>,
 ) {
     let connection = Arc::clone(stream.connection());
-    let max_head_bytes = match connection.bounds().max_head_bytes() {
-        usize::MAX => DEFAULT_HEAD_BYTES,
-        bytes => bytes,
-    };
     let service = service_fn(|req: http::Request<Incoming>| {
         let mut req = Request::from((req, local.clone(), remote.clone(), Scheme::HTTP));
         req.extensions_mut().insert(Arc::clone(&connection));
@@ -104,7 +97,7 @@
     });
     let mut server = pin!(
         Builder::new()
-            .max_headers(max_head_bytes / MIN_FIELD_BYTES)
+            .max_headers(MAX_HEADER_FIELDS)
             .serve_connection(TokioIo::new(stream), service)
     );
     let result = tokio::select! {
