--- a/ibiscroft-gateway/tests/it/invalid_status.rs
+++ b/ibiscroft-gateway/tests/it/invalid_status.rs
@@ -1,15 +1,13 @@
 //! Responses of backend servers whose status code cannot be that of a final response.
 
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::sync::Mutex;
 
 use futures_util::future::join_all;
 use reqwest::Method;
 use serde_json::Value;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, copy};
-use tokio::net::{TcpListener, TcpStream};
 
+use crate::faulty_target::{Fault, put_before_targets};
 use crate::support::{Fleet, FleetOptions, timed_key};
 
 /// Start of the paths whose first request gets the status line that follows, with `-` for spaces.
@@ -24,65 +22,11 @@
 /// Puts a proxy in front of each backend server, which responds to the first request of each path
 /// under [`FAULTY_PATH`] itself.
 fn with_faulty_responses(questionnaire: &mut Value) {
-    for target in questionnaire["services"][0]["targets"].as_array_mut().unwrap() {
-        let backend: SocketAddr = target["address"].as_str().unwrap().parse().unwrap();
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        listener.set_nonblocking(true).unwrap();
-        target["address"] = listener.local_addr().unwrap().to_string().into();
-        tokio::spawn(accept(TcpListener::from_std(listener).unwrap(), backend));
-    }
-}
-
-async fn accept(listener: TcpListener, backend: SocketAddr) {
-    while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(serve(stream, backend));
-    }
-}
-
-/// Forwards a connection until it ends or a request gets a faulty response.
-async fn serve(caller: TcpStream, backend: SocketAddr) {
-    let Ok(backend) = TcpStream::connect(backend).await else {
-        return;
-    };
-    let (mut caller_rx, mut caller_tx) = caller.into_split();
-    let (mut backend_rx, mut backend_tx) = backend.into_split();
-    let (fault_tx, fault_rx) = tokio::sync::oneshot::channel();
-    let requests = async move {
-        let mut buf = vec![0; 16 << 10];
-        loop {
-            match caller_rx.read(&mut buf).await {
-                Ok(count) if count > 0 => {
-                    if let Some(response) = faulty_response(&buf[..count]) {
-                        let _ = fault_tx.send(response);
-                        // Until the gateway closes the connection.
-                        while caller_rx.read(&mut buf).await.is_ok_and(|count| count > 0) {}
-                        return;
-                    }
-                    if backend_tx.write_all(&buf[..count]).await.is_err() {
-                        return;
-                    }
-                }
-                _ => return,
-            }
-        }
-    };
-    let responses = async move {
-        tokio::select! {
-            _ = copy(&mut backend_rx, &mut caller_tx) => {}
-            Ok(response) = fault_rx => {
-                let _ = caller_tx.write_all(response.as_bytes()).await;
-                std::future::pending::<()>().await;
-            }
-        }
-    };
-    tokio::select! {
-        () = requests => {}
-        () = responses => {}
-    }
+    put_before_targets(&mut questionnaire["services"][0], faulty_response);
 }
 
 /// Returns the response to a request that gets a faulty one.
-fn faulty_response(request: &[u8]) -> Option<String> {
+fn faulty_response(request: &[u8]) -> Option<Fault> {
     let text = String::from_utf8_lossy(request);
     let path = text.split(' ').nth(1)?;
     let (status, rest) = path.strip_prefix(FAULTY_PATH)?.split_once('/')?;
@@ -92,7 +36,8 @@
     }
     let body = if rest.ends_with("body") { "body" } else { "" };
     let status = status.replace('-', " ");
-    Some(format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+    let start = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    Some(Fault { start, ..Fault::default() })
 }
 
 /// Guards against a faulty backend server whose response is forwarded as it is.
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -4,6 +4,8 @@
 mod catalogues;
 mod cold_start;
 mod end_to_end;
+mod endless;
+mod faulty_target;
 mod invalid_status;
 mod leaving;
 mod operators;
--- a/ibiscroft-gateway/tests/it/support.rs
+++ b/ibiscroft-gateway/tests/it/support.rs
@@ -262,6 +262,14 @@
         assert!(status.success(), "kill -{signal}");
     }
 
+    /// Returns the highest resident memory of the process so far, in kilobytes.
+    pub(crate) fn peak_memory_kb(&self) -> u64 {
+        let file = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(file).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Waits until the process has ended and returns its exit code, or `None` if a signal ended it.
     pub(crate) async fn exit_code(&mut self) -> Option<i32> {
         let begun = Instant::now();
