test: ibiscroft-gateway reads slow bodies and interim responses on without a bound

slow_endless_response_to_an_at_most_once_request...: the target sends a byte of a chunked body every 100 ms.

endless_interim_responses_...: 8 requests with a deadline of 2 s get interim responses without end.

--- a/ibiscroft-gateway/tests/it/endless.rs
+++ b/ibiscroft-gateway/tests/it/endless.rs
@@ -1,6 +1,7 @@
 //! Backend servers that send bytes without end, in reply to many requests at the same time.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use http::StatusCode;
@@ -10,7 +11,7 @@
 use tokio::net::TcpStream;
 
 use crate::faulty_target::{Fault, put_before_targets};
-use crate::support::{Fleet, FleetOptions, timed_key, wait_for};
+use crate::support::{Fleet, FleetOptions, WAIT_TIMEOUT, timed_key, wait_for};
 
 /// Bound on the memory that a gateway uses beyond that of its unloaded process, in kilobytes.
 const MAX_ADDED_MEMORY_KB: u64 = 64_000;
@@ -24,6 +25,8 @@
 const DEADLINE_MS: usize = 2_000;
 /// Number of fleets that run concurrently.
 const CONCURRENT_FLEETS: usize = 4;
+/// Pause between the bytes of a slow body; shorter than any timeout of a read.
+const SLOW_BODY_PAUSE: Duration = Duration::from_millis(100);
 /// Number of backend servers of each of the two services.
 const TARGETS: usize = 3;
 
@@ -76,6 +79,7 @@
     let (start, repeated) = match place {
         "field" => (format!("{ok}X: "), filler),
         "fields" => (ok.to_string(), field),
+        "interim" => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(1_000)),
         "body" => (format!("{ok}{chunked}"), chunk),
         "refusal-body" => (format!("{refused}{chunked}"), chunk),
         "close-delimited-body" => (format!("{ok}\r\n"), filler),
@@ -83,9 +87,11 @@
         "chunk-extension" => (format!("{ok}{chunked}4;ext="), filler),
         "trailer" => (format!("{ok}{chunked}4\r\nbody\r\n0\r\n"), field),
         "after-response" => (format!("{ok}Content-Length: 4\r\n\r\nbody"), filler),
+        "slow-body" => (format!("{ok}{chunked}"), "1\r\nx\r\n".to_string()),
         _ => return None,
     };
-    Some(Fault { start, repeated, ..Fault::default() })
+    let pause = if place == "slow-body" { SLOW_BODY_PAUSE } else { Duration::ZERO };
+    Some(Fault { start, repeated, pause })
 }
 
 async fn start() -> Fleet {
@@ -196,6 +202,27 @@
     (statuses, wrong)
 }
 
+/// Guards against a request that must run at most once whose caller gets no response and whose task
+/// never ends, as its response is read before it is forwarded.
+#[tokio::test]
+async fn slow_endless_response_to_an_at_most_once_request_ends_at_its_deadline() {
+    let fleet = start().await;
+    let request = request_text(&Method::POST, "slow-body", 0);
+    let response = read_endless(fleet.gateways[0].callers, &request, usize::MAX);
+    let response = tokio::time::timeout(WAIT_TIMEOUT, response).await;
+    let (status, _) = response.expect("no response within 20 s, 2 s allowed");
+    assert_eq!(status, "504");
+}
+
+/// Guards against interim responses that occupy a traffic thread until the deadlines of their
+/// requests, so that requests of others miss theirs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endless_interim_responses_end_before_the_deadlines_of_their_requests() {
+    let (statuses, wrong) = send_many(&place("interim")).await;
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    assert!(statuses.iter().all(|status| status == "502"), "{statuses:?}");
+}
+
 /// Guards against a gateway that reads responses faster than their callers.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn endless_bodies_that_callers_do_not_read_stay_with_the_backend_servers() {
