fix: a response to an at-most-once request ends at the request's deadline

Seen by callers: no response at all while the target sent a body byte by byte; the request kept its slot, its connection and its claim, also after the caller had left.

Cause: filters/claim reads up to 2 KB of a body before it forwards the response, to store it for repeats of the key. Only the pause between two chunks was bounded (10 s), not the whole. Ruled out: memory (the read part is bounded) and the head (bounded by the deadline).

Change: the read part must be complete at the deadline; otherwise the response counts as broken off, as before with a lost connection: recorded as run without its body, 504 to the caller. Nothing of the body has been forwarded by then, so no response is cut. A longer body is forwarded as before.

Before: no response in 20 s with a deadline of 2 s (3 of 3 runs). After: 504, 2 of 2 runs; the 14 at_most_once tests pass.

--- a/ibiscroft-gateway/src/filters/claim.rs
+++ b/ibiscroft-gateway/src/filters/claim.rs
@@ -1,5 +1,6 @@
 //! Passes at-most-once requests on only under a confirmed claim.
 
+use std::io;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -10,6 +11,7 @@
 use ibiscroft_wire::{ErrorKind, headers};
 
 use crate::claims::{ClaimRequest, ClaimsHandle, ConfirmedClaim, Decision, SentRequest};
+use crate::clock::Clock;
 use crate::exchange::{BackendResponse, BodyStream, Exchange, Failure, Reply, ResponseBody};
 use crate::filters::{Filter, Handler};
 
@@ -19,14 +21,15 @@
 /// Filter that claims the idempotency key of each at-most-once request.
 #[derive(Debug)]
 pub(crate) struct Claim {
+    clock: Clock,
     claims: ClaimsHandle,
     max_stored_body_bytes: usize,
 }
 
 impl Claim {
     /// Creates the filter.
-    pub(crate) fn new(claims: ClaimsHandle, limits: &ClaimLimits) -> Self {
-        Self { claims, max_stored_body_bytes: limits.max_stored_body_bytes }
+    pub(crate) fn new(clock: Clock, claims: ClaimsHandle, limits: &ClaimLimits) -> Self {
+        Self { clock, claims, max_stored_body_bytes: limits.max_stored_body_bytes }
     }
 
     /// Passes a claimed request on and records its outcome.
@@ -38,7 +41,7 @@
     ) -> Reply {
         let sent = claim.begin();
         match next.handle(ex).await {
-            Ok(response) => self.record_response(response, sent).await,
+            Ok(response) => self.record_response(ex, response, sent).await,
             Err(failure) => {
                 match failure.kind.response().execution {
                     Execution::NotRun => sent.record_not_run(),
@@ -50,10 +53,24 @@
     }
 
     /// Records a response, with its body if that is small enough, and returns the response.
-    async fn record_response(&self, mut response: BackendResponse, sent: SentRequest) -> Reply {
+    ///
+    /// A body of which neither the end nor more than the stored part has arrived at the deadline
+    /// counts as broken off: no byte of it has been forwarded, and it may never end.
+    async fn record_response(
+        &self,
+        ex: &Exchange,
+        mut response: BackendResponse,
+        sent: SentRequest,
+    ) -> Reply {
+        let time_left = ex.deadline.since(self.clock.now());
         let body = match response.body {
             ResponseBody::Whole(body) => Ok(Collected::Whole(body)),
-            ResponseBody::Stream(body) => collect(body, self.max_stored_body_bytes).await,
+            ResponseBody::Stream(body) => {
+                let collected = collect(body, self.max_stored_body_bytes);
+                tokio::time::timeout(time_left, collected)
+                    .await
+                    .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+            }
         };
         let content_type = response.headers.get(header::CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
@@ -77,8 +94,10 @@
             Err(error) => {
                 // The request ran, so its response is recorded without the incomplete body.
                 sent.record_response(stored);
-                let detail = format!("the answer broke off: {error}");
-                Err(Failure::new(ErrorKind::ConnectionLost, detail))
+                let is_late = self.clock.now() >= ex.deadline;
+                let kind =
+                    if is_late { ErrorKind::AnswerTimeout } else { ErrorKind::ConnectionLost };
+                Err(Failure::new(kind, format!("the answer broke off: {error}")))
             }
         }
     }
@@ -121,7 +140,7 @@
 }
 
 /// Reads a body until it ends or exceeds `limit` bytes.
-async fn collect(mut body: BodyStream, limit: usize) -> std::io::Result<Collected> {
+async fn collect(mut body: BodyStream, limit: usize) -> io::Result<Collected> {
     let mut buf = BytesMut::new();
     while let Some(chunk) = body.next().await {
         buf.extend_from_slice(&chunk?);
--- a/ibiscroft-gateway/src/traffic.rs
+++ b/ibiscroft-gateway/src/traffic.rs
@@ -167,7 +167,10 @@
 fn chain(context: &TrafficContext) -> eyre::Result<impl Handler + use<>> {
     let shared = &context.shared;
     let forward = Forward::new(Arc::clone(shared), BackendClient::new()?);
-    let claim = Chain::new(Claim::new(context.claims.clone(), &context.claim_limits), forward);
+    let claim = Chain::new(
+        Claim::new(shared.clock, context.claims.clone(), &context.claim_limits),
+        forward,
+    );
     let admit = Chain::new(Admit::new(Arc::clone(shared)), claim);
     Ok(Chain::new(Account::new(Arc::clone(shared)), admit))
 }
