fix: ibiscroft-gateway ends endless interim responses after 64 of them

Seen by callers: while a target sent interim responses without end, GET requests to it got 504 only at their deadline, and 1 of 20 requests of another service got 504 after its 5 s.

Cause: the HTTP client limits one head (400 KB), not the number of interim responses, and parses as many as its socket has in one turn of a traffic thread, so that others on the thread wait. reqwest passes no request extension to hyper and cannot limit its read buffer, so neither could be bounded. Ruled out: memory (3.5 to 4.9 MB added), AIMD admission (the other service has its own).

Change: backend_client uses hyper-util's client, on which reqwest is built, with the same timeouts, pool and connection guard. The 64th interim response ends the attempt as a lost connection, and the read buffer, also the largest head, is 128 KB, which bounds the turn. The client no longer adds "Accept: */*" and no longer rewrites paths (reqwest normalizes URLs); both reach the target as the caller sent them.

--- a/ibiscroft-gateway/src/backend_client.rs
+++ b/ibiscroft-gateway/src/backend_client.rs
@@ -1,21 +1,28 @@
 //! HTTP client for backend servers; checks that each response belongs to its request.
 
+use std::error::Error as _;
 use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use eyre::WrapErr;
 use futures_util::{Stream, StreamExt, stream};
-use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyDataStream, Full};
+use hyper::body::{Body, Incoming};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::{Client, Error};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use ibiscroft_core::Tick;
 use ibiscroft_core::ids::RunId;
 use ibiscroft_core::permits::ReportedState;
 use ibiscroft_core::selection::{Candidate, InFlight};
 use ibiscroft_wire::{ErrorKind, headers};
-use reqwest::{Client, Response};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::connect_guard::GuardLayer;
+use crate::connect_guard::GuardedConnect;
 use crate::exchange::{BackendResponse, BodyStream, Exchange, ResponseBody};
 use crate::filters::identify::remove_hop_by_hop;
 use crate::permits::{PermitUse, RunReport};
@@ -29,6 +36,10 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long an idle connection is kept open; also the idle time before TCP keep-alive probes.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Largest head of a response, and read buffer of a connection, in bytes.
+const MAX_HEAD_BYTES: usize = 128 << 10;
+/// Interim responses after which a response counts as lost; servers send one or two.
+const MAX_INTERIM_RESPONSES: usize = 64;
 /// Idle connections that one traffic thread keeps to one target.
 ///
 /// With 18 gateways of two traffic threads each, and one liveness connection per gateway, the idle
@@ -38,16 +49,18 @@
 /// Clients for backend servers: one reuses connections, the other opens one for each request.
 #[derive(Clone, Debug)]
 pub(crate) struct BackendClient {
-    pooled: Client,
-    fresh: Client,
+    pooled: HttpClient,
+    fresh: HttpClient,
 }
 
+type HttpClient = Client<GuardedConnect<HttpConnector>, Full<Bytes>>;
+
 /// The head of a backend server's response; the body has not been read yet.
 #[derive(Debug)]
 pub(crate) struct ResponseHead {
     status: StatusCode,
     headers: HeaderMap,
-    body: Option<Response>,
+    body: Option<Incoming>,
     /// Set if the response reports that its run drains; the id is empty if it names no run.
     pub(crate) draining: Option<RunId>,
     /// Run and state that the response reports.
@@ -68,9 +81,9 @@
                 }
                 ResponseBody::Whole(Bytes::new())
             }
-            Some(res) => {
-                let length = res.content_length();
-                let body = counted_in_flight(res.bytes_stream(), in_flight);
+            Some(body) => {
+                let length = body.size_hint().exact();
+                let body = counted_in_flight(BodyDataStream::new(body), in_flight);
                 match permit {
                     None => ResponseBody::Stream(Box::pin(body)),
                     Some(permit) => {
@@ -102,12 +115,8 @@
 
 impl BackendClient {
     /// Creates both clients.
-    ///
-    /// # Errors
-    ///
-    /// Returns the HTTP library's error if a client cannot be created.
-    pub(crate) fn new() -> eyre::Result<Self> {
-        Ok(Self { pooled: client(MAX_IDLE)?, fresh: client(0)? })
+    pub(crate) fn new() -> Self {
+        Self { pooled: client(MAX_IDLE), fresh: client(0) }
     }
 
     /// Sends the request to one target and waits for the head of the response until `deadline`.
@@ -127,20 +136,29 @@
     ) -> Result<ResponseHead, SendError> {
         let time_left = deadline.since(now);
         let client = if ex.is_at_most_once() { &self.fresh } else { &self.pooled };
-        let url = format!("http://{}{}", candidate.target.address, ex.path_and_query);
-        let request = client
-            .request(ex.method.clone(), url)
-            .headers(request_headers(ex, time_left))
-            .body(ex.body.clone())
-            .build()
+        let uri = format!("http://{}{}", candidate.target.address, ex.path_and_query);
+        let mut request = Request::builder()
+            .method(ex.method.clone())
+            .uri(uri)
+            .body(Full::new(ex.body.clone()))
             .map_err(|error| SendError::NotSent(error.to_string()))?;
-        match tokio::time::timeout(time_left, client.execute(request)).await {
+        *request.headers_mut() = request_headers(ex, time_left);
+        let too_many_interim = limit_interim_responses(&mut request);
+        let head_timeout = time_left.min(READ_TIMEOUT);
+        let sent = tokio::select! {
+            sent = tokio::time::timeout(head_timeout, client.request(request)) => sent,
+            () = too_many_interim.notified() => {
+                let detail = format!("no final response after {MAX_INTERIM_RESPONSES} interim ones");
+                return Err(SendError::Unknown(ErrorKind::ConnectionLost, detail));
+            }
+        };
+        match sent {
             Ok(Ok(res)) => check_response(ex, res),
-            Ok(Err(error)) if error.is_connect() => Err(SendError::NotSent(error.to_string())),
-            Ok(Err(error)) => Err(SendError::Unknown(ErrorKind::ConnectionLost, error.to_string())),
+            Ok(Err(error)) if error.is_connect() => Err(SendError::NotSent(describe(&error))),
+            Ok(Err(error)) => Err(SendError::Unknown(ErrorKind::ConnectionLost, describe(&error))),
             Err(_) => {
-                let detail = format!("no answer within {} ms", time_left.as_millis());
-                let is_before_request_deadline = deadline < ex.deadline;
+                let detail = format!("no answer within {} ms", head_timeout.as_millis());
+                let is_before_request_deadline = head_timeout < time_left || deadline < ex.deadline;
                 let kind = if is_before_request_deadline {
                     ErrorKind::ConnectionLost
                 } else {
@@ -152,24 +170,40 @@
     }
 }
 
+/// Returns what is notified when the response to `request` has too many interim responses.
+///
+/// The HTTP client limits the size of a single head, but not the number of interim responses.
+fn limit_interim_responses(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let too_many = Arc::new(Notify::new());
+    let notify = Arc::clone(&too_many);
+    let count = AtomicUsize::new(0);
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) + 1 == MAX_INTERIM_RESPONSES {
+            notify.notify_one();
+        }
+    });
+    too_many
+}
+
+/// Returns the description of an error with its cause.
+fn describe(error: &Error) -> String {
+    error.source().map_or_else(|| error.to_string(), |cause| format!("{error}: {cause}"))
+}
+
 /// Creates a client that keeps up to `max_idle` idle connections to each target.
-fn client(max_idle: usize) -> eyre::Result<Client> {
-    Client::builder()
-        .no_proxy()
-        .http1_only()
-        .redirect(reqwest::redirect::Policy::none())
-        .referer(false)
-        .retry(reqwest::retry::never())
-        .connect_timeout(CONNECT_TIMEOUT)
-        .read_timeout(READ_TIMEOUT)
-        .connector_layer(GuardLayer)
-        .tcp_nodelay(true)
-        .tcp_keepalive(IDLE_TIMEOUT)
-        .tcp_user_timeout(UNACKNOWLEDGED_TIMEOUT)
+fn client(max_idle: usize) -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_nodelay(true);
+    connector.set_keepalive(Some(IDLE_TIMEOUT));
+    connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+    Client::builder(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(max_idle)
-        .build()
-        .wrap_err("failed to create the HTTP client for backend servers")
+        .http1_max_buf_size(MAX_HEAD_BYTES)
+        .build(GuardedConnect::new(connector))
 }
 
 /// Returns the headers for the target: those of the caller, with the gateway's deadline, call depth
@@ -192,7 +226,7 @@
 /// Returns the head of a response, or an error if the response has a status that no final response
 /// can have, belongs to another request, or reports that the target rejected the request or dropped
 /// it at its deadline.
-fn check_response(ex: &Exchange, res: Response) -> Result<ResponseHead, SendError> {
+fn check_response(ex: &Exchange, res: Response<Incoming>) -> Result<ResponseHead, SendError> {
     let status = res.status();
     // The HTTP client accepts all codes from 100 to 999, and 101 as that of a final response.
     if !(200..600).contains(&status.as_u16()) {
@@ -218,8 +252,8 @@
         return Err(SendError::Unknown(ErrorKind::AnswerTimeout, detail.to_string()));
     }
     remove_hop_by_hop(&mut headers);
-    let is_empty = res.content_length() == Some(0) || ex.method == Method::HEAD;
-    let body = if is_empty { None } else { Some(res) };
+    let is_empty = res.body().size_hint().exact() == Some(0) || ex.method == Method::HEAD;
+    let body = if is_empty { None } else { Some(res.into_body()) };
     Ok(ResponseHead { status, headers, body, draining, report })
 }
 
@@ -281,13 +315,18 @@
 }
 
 /// Forwards a body; the request counts as in flight until the body ends or is dropped.
+///
+/// The body breaks off if its next chunk does not arrive within [`READ_TIMEOUT`].
 fn counted_in_flight(
-    body: impl Stream<Item = reqwest::Result<Bytes>> + Send + Unpin + 'static,
+    body: impl Stream<Item = hyper::Result<Bytes>> + Send + Unpin + 'static,
     in_flight: InFlight,
 ) -> impl Stream<Item = io::Result<Bytes>> + Send {
     stream::unfold((body, in_flight), |(mut body, in_flight)| async move {
-        let chunk = body.next().await?;
-        Some((chunk.map_err(io::Error::other), (body, in_flight)))
+        let chunk = match tokio::time::timeout(READ_TIMEOUT, body.next()).await {
+            Ok(chunk) => chunk?.map_err(io::Error::other),
+            Err(_) => Err(io::ErrorKind::TimedOut.into()),
+        };
+        Some((chunk, (body, in_flight)))
     })
 }
 
--- a/ibiscroft-gateway/src/connect_guard.rs
+++ b/ibiscroft-gateway/src/connect_guard.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
-use tower::{BoxError, Layer, Service};
+use tower::{BoxError, Service};
 
 use crate::liveness_connection::LivenessConnection;
 
@@ -28,27 +28,22 @@
     LIVENESS.scope(liveness, request).await
 }
 
-/// Layer that adds the check to the connector of an HTTP client.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct GuardLayer;
-
-impl<S> Layer<S> for GuardLayer {
-    type Service = GuardedConnect<S>;
-
-    fn layer(&self, inner: S) -> Self::Service {
-        GuardedConnect { inner }
-    }
-}
-
 /// Connector that checks the liveness connection of the request for which it opens a connection.
 #[derive(Clone, Debug)]
 pub(crate) struct GuardedConnect<S> {
     inner: S,
 }
 
+impl<S> GuardedConnect<S> {
+    /// Adds the check to the connector of an HTTP client.
+    pub(crate) fn new(inner: S) -> Self {
+        Self { inner }
+    }
+}
+
 impl<S, R> Service<R> for GuardedConnect<S>
 where
-    S: Service<R, Error = BoxError>,
+    S: Service<R, Error: Into<BoxError>>,
     S::Future: Send + 'static,
 {
     type Response = S::Response;
@@ -56,14 +51,14 @@
     type Future = Pin<Box<dyn Future<Output = Result<S::Response, BoxError>> + Send>>;
 
     fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), BoxError>> {
-        self.inner.poll_ready(cx)
+        self.inner.poll_ready(cx).map_err(Into::into)
     }
 
     fn call(&mut self, req: R) -> Self::Future {
         let liveness = LIVENESS.try_with(Clone::clone).unwrap_or_default();
         let connecting = self.inner.call(req);
         Box::pin(async move {
-            let connection = connecting.await?;
+            let connection = connecting.await.map_err(Into::into)?;
             if liveness.is_some_and(|liveness| !liveness.is_verified_open()) {
                 return Err("the target may have restarted".into());
             }
--- a/ibiscroft-gateway/src/traffic.rs
+++ b/ibiscroft-gateway/src/traffic.rs
@@ -151,7 +151,7 @@
     let listener = TcpListener::from_std(listener)?;
     connections.bounds().set_max_head_bytes(MAX_HEAD_BYTES);
     let acceptor = ConnectionAcceptor::new(listener, Arc::clone(&connections))?;
-    let chain = chain(&context)?;
+    let chain = chain(&context);
     let callers = CallerEndpoint::new(context.shared, chain, connections, context.closing);
     let stop = async move {
         let _ = phase.wait_for(|phase| *phase >= Phase::Draining).await;
@@ -164,13 +164,13 @@
 }
 
 /// Creates the filter chain of one thread: account, admit, claim, forward.
-fn chain(context: &TrafficContext) -> eyre::Result<impl Handler + use<>> {
+fn chain(context: &TrafficContext) -> impl Handler + use<> {
     let shared = &context.shared;
-    let forward = Forward::new(Arc::clone(shared), BackendClient::new()?);
+    let forward = Forward::new(Arc::clone(shared), BackendClient::new());
     let claim = Chain::new(
         Claim::new(shared.clock, context.claims.clone(), &context.claim_limits),
         forward,
     );
     let admit = Chain::new(Admit::new(Arc::clone(shared)), claim);
-    Ok(Chain::new(Account::new(Arc::clone(shared)), admit))
+    Chain::new(Account::new(Arc::clone(shared)), admit)
 }
