test: ibiscroft-gateway keeps endless responses of the store

The client of ibiscroft-platform collects each response of the store until the timeout of its call (0.5 to 1.5 s): 73 MB over the 21 MB of the unloaded gateway after five endless responses, 64 MB allowed (one run of the debug build).

--- a/ibiscroft-gateway/tests/it/endless.rs
+++ b/ibiscroft-gateway/tests/it/endless.rs
@@ -1,6 +1,7 @@
 //! Backend servers that send bytes without end, in reply to many requests at the same time.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -10,8 +11,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::faulty_target::{Fault, put_before_targets};
-use crate::support::{Fleet, FleetOptions, WAIT_TIMEOUT, timed_key, wait_for};
+use crate::faulty_target::{Fault, put_before_targets, start_proxy};
+use crate::support::{Fleet, FleetOptions, Gateway, WAIT_TIMEOUT, timed_key, wait_for};
 
 /// Bound on the memory that a gateway uses beyond that of its unloaded process, in kilobytes.
 const MAX_ADDED_MEMORY_KB: u64 = 64_000;
@@ -242,3 +243,43 @@
         assert!(added_kb < MAX_ADDED_MEMORY_KB, "{place}: {added_kb} kB over {unloaded_kb} kB");
     }
 }
+
+/// Whether the proxy before the store answers calls with endless bodies.
+static IS_STORE_ENDLESS: AtomicBool = AtomicBool::new(false);
+/// Number of calls to the store that were answered so.
+static ENDLESS_STORE_CALLS: AtomicUsize = AtomicUsize::new(0);
+/// Number of those calls before the memory of the gateway is judged.
+const MIN_ENDLESS_STORE_CALLS: usize = 5;
+
+fn endless_store_response(_: &[u8]) -> Option<Fault> {
+    if !IS_STORE_ENDLESS.load(Ordering::Relaxed) {
+        return None;
+    }
+    ENDLESS_STORE_CALLS.fetch_add(1, Ordering::Relaxed);
+    let start = "HTTP/1.1 200 OK\r\n\r\n".to_string();
+    Some(Fault { start, repeated: " ".repeat(64 << 10), ..Fault::default() })
+}
+
+/// Guards against responses of the store that fill the memory of a gateway.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endless_responses_of_the_store_take_no_memory() {
+    let mut fleet = Fleet::start(FleetOptions::new(0, 1)).await;
+    let store = start_proxy(fleet.store.address(), endless_store_response);
+    fleet.gateways.push(Gateway::start(0, store));
+    fleet.wait_ready(&fleet.gateways[0]).await;
+    fleet.warm_up().await;
+    let unloaded_kb = fleet.gateways[0].peak_memory_kb();
+    IS_STORE_ENDLESS.store(true, Ordering::Relaxed);
+    wait_for("calls with endless responses", async || {
+        ENDLESS_STORE_CALLS.load(Ordering::Relaxed) >= MIN_ENDLESS_STORE_CALLS
+    })
+    .await;
+    IS_STORE_ENDLESS.store(false, Ordering::Relaxed);
+    wait_for("requests are served", async || {
+        let res = fleet.request(Method::GET, 0, "/x?bytes=100").send().await;
+        res.is_ok_and(|res| res.status() == StatusCode::OK)
+    })
+    .await;
+    let added_kb = fleet.gateways[0].peak_memory_kb() - unloaded_kb;
+    assert!(added_kb < MAX_ADDED_MEMORY_KB, "{added_kb} kB over {unloaded_kb} kB");
+}
--- a/ibiscroft-gateway/tests/it/faulty_target.rs
+++ b/ibiscroft-gateway/tests/it/faulty_target.rs
@@ -1,4 +1,4 @@
-//! Proxy in front of backend servers that responds to some requests itself.
+//! Proxy in front of backend servers, or of the store, that responds to some requests itself.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -25,14 +25,20 @@
 /// Puts a proxy in front of each backend server of a service.
 pub(crate) fn put_before_targets(service: &mut Value, fault_of: FaultOf) {
     for target in service["targets"].as_array_mut().unwrap() {
-        let backend: SocketAddr = target["address"].as_str().unwrap().parse().unwrap();
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        listener.set_nonblocking(true).unwrap();
-        target["address"] = listener.local_addr().unwrap().to_string().into();
-        tokio::spawn(accept(TcpListener::from_std(listener).unwrap(), backend, fault_of));
+        let backend = target["address"].as_str().unwrap().parse().unwrap();
+        target["address"] = start_proxy(backend, fault_of).to_string().into();
     }
 }
 
+/// Starts a proxy in front of a server; returns its address.
+pub(crate) fn start_proxy(server: SocketAddr, fault_of: FaultOf) -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(accept(TcpListener::from_std(listener).unwrap(), server, fault_of));
+    address
+}
+
 async fn accept(listener: TcpListener, backend: SocketAddr, fault_of: FaultOf) {
     while let Ok((stream, _)) = listener.accept().await {
         tokio::spawn(serve(stream, backend, fault_of));
