fix: bodies of the store's responses end at 8 MB, also in ibiscroft-gateway

Cause: ibiscroft-platform's client collected each body until the timeout of its call. Gateways and the command line use it.

Change: a call counts as without response once its body exceeds 8 MB; the largest item, a configuration, has 1 MB at most. After a failed watch the gateway reads all keys again, as before.

--- a/ibiscroft-platform/src/store_client.rs
+++ b/ibiscroft-platform/src/store_client.rs
@@ -18,6 +18,9 @@
 /// Timeout for opening a connection to one address.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Longest body of a response, in bytes; a configuration has at most 1 MB.
+const MAX_BODY_BYTES: usize = 8 << 20;
+
 copy_data! {
     /// Identifier of a lease of the key-value service.
     pub struct LeaseId(pub u64);
@@ -31,8 +34,8 @@
 /// # Errors
 ///
 /// Every call returns [`StoreError::Unreachable`] if no address accepts a connection,
-/// [`StoreError::NoResponse`] if the response is late, lost, a server error (5xx) or cannot be
-/// decoded, and [`StoreError::Refused`] if its status is otherwise unexpected.
+/// [`StoreError::NoResponse`] if the response is late, lost, longer than 8 MB, a server error (5xx)
+/// or cannot be decoded, and [`StoreError::Refused`] if its status is otherwise unexpected.
 #[derive(Clone, Debug)]
 pub struct StoreClient {
     client: Client,
@@ -257,6 +260,15 @@
 }
 
 /// Decodes the body of a response, whatever its status.
-async fn decode_body<T: DeserializeOwned>(res: Response) -> Result<T, StoreError> {
-    res.json().await.map_err(|error| StoreError::NoResponse(error.to_string()))
+async fn decode_body<T: DeserializeOwned>(mut res: Response) -> Result<T, StoreError> {
+    let lost = |error: reqwest::Error| StoreError::NoResponse(error.to_string());
+    let mut body = Vec::new();
+    while let Some(chunk) = res.chunk().await.map_err(lost)? {
+        if body.len() + chunk.len() > MAX_BODY_BYTES {
+            let cause = format!("body of more than {MAX_BODY_BYTES} bytes");
+            return Err(StoreError::NoResponse(cause));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    serde_json::from_slice(&body).map_err(|error| StoreError::NoResponse(error.to_string()))
 }
