fix(edge): a 3xx or 4xx of a target counts only with its seal

What callers would see: a redirection or client error that no target has vouched for, forwarded as the final answer to a proper request. Without the seal it is indistinguishable from one of the gateway's own.

Cause: only successes were checked for the seal.

Change: without the seal these count as lost like an unsealed success: 502 to an order, another target for a request that may be repeated. Refusals that say that the request has not run are recognized before, as are 5xx, which callers do not take to be final.

`rejection_without_a_seal_is_not_forwarded` failed before (302 forwarded).

--- a/ibiscroft-edge/src/filters/send.rs
+++ b/ibiscroft-edge/src/filters/send.rs
@@ -91,8 +91,9 @@
             tokio::spawn(discard_body(Arc::clone(shared), target, connection, body));
             return Err(SendError::Refused(refusal));
         }
-        if head.status.is_success() && !metadata.is_sealed {
-            return Err(SendError::Lost("a success without the target's seal".to_string()));
+        if needs_seal(head.status) && !metadata.is_sealed {
+            let status = head.status.as_u16();
+            return Err(SendError::Lost(format!("status {status} without the target's seal")));
         }
         if implies_not_run(head.status) {
             let status = head.status.as_u16();
@@ -145,6 +146,12 @@
         || D::parse_response(StatusCode::OK, headers, Slots(0)).is_sealed
 }
 
+/// Returns whether callers take a status code to be final, so that a response with it is forwarded
+/// only if its seal shows that it comes from the target.
+fn needs_seal(status: StatusCode) -> bool {
+    status.is_success() || status.is_redirection() || status.is_client_error()
+}
+
 /// Returns whether callers take a status code to mean that the request has not run.
 ///
 /// If a target responds with such a status without refusing the request, the response counts as
