fix(edge): an outdated limit on request heads gives 503 instead of 431

What callers saw: 431 for a head within the limit in force, from a gateway whose configuration was older. Callers do not retry after 431.

Cause: the same as of the refusals in filters/identify, in the listener, which refuses long heads by the limit that it was given last.

Change: the listener is told whether the limit is current, at most 200 ms late, and otherwise answers 503 with Retry-After and closes.

--- a/ibiscroft-edge/src/caller_bounds.rs
+++ b/ibiscroft-edge/src/caller_bounds.rs
@@ -1,6 +1,7 @@
 //! Division of the descriptors of the process, and enforcement of the bounds on callers.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use ibiscroft_listener::ConnectionRegistry;
@@ -8,6 +9,7 @@
 
 use crate::connection_pool::MIN_IDLE_CONNECTIONS;
 use crate::events::event;
+use crate::filters::identify::currency::is_current;
 use crate::shared::Shared;
 
 /// Interval at which a stalled body is looked for. When many chunked bodies fill the account and
@@ -74,6 +76,8 @@
         if !number.is_multiple_of(INTERVALS_PER_CHECK) {
             continue;
         }
+        // Read before the view, which is then at least as recent.
+        let staleness = shared.staleness();
         let view = shared.view.load_full();
         if let Some(max_fds) = shared.settings.max_fds {
             let (targets, gateways) = (view.targets().count(), view.member_count());
@@ -81,6 +85,9 @@
             connections.bounds().set_max_open(max_open);
             shared.pool.set_max_idle(max_idle_connections(max_fds, targets));
         }
+        // At the start the view becomes current between two of these checks.
+        let was_current = shared.has_been_current.load(Ordering::Relaxed);
+        connections.bounds().set_head_limit_current(!was_current || is_current(staleness));
         if let Some(configuration) = view.configuration() {
             connections.bounds().set_max_head_bytes(configuration.limits.header_bytes);
             connections.refuse_late_heads(configuration.limits.header_timeout);
--- a/ibiscroft-edge/src/filters/identify.rs
+++ b/ibiscroft-edge/src/filters/identify.rs
@@ -1,7 +1,7 @@
 //! Reads a caller's request and determines its route and service.
 
 mod body;
-mod currency;
+pub(crate) mod currency;
 mod organisation;
 
 use std::time::Duration;
--- a/ibiscroft-edge/src/filters/identify/currency.rs
+++ b/ibiscroft-edge/src/filters/identify/currency.rs
@@ -21,6 +21,11 @@
     pub(super) staleness: Duration,
 }
 
+/// Returns whether a configuration with this staleness counts as the newest one.
+pub(crate) fn is_current(staleness: Duration) -> bool {
+    staleness <= MAX_STALENESS
+}
+
 impl Currency {
     /// Returns the failure for a request that the configuration does not allow.
     ///
@@ -28,7 +33,7 @@
     /// request, the failure is `NotReady` instead, which asks the caller to retry.
     pub(super) fn refusal(self, kind: FailureKind, reason: &str) -> Failure {
         let Self { version, staleness } = self;
-        if staleness <= MAX_STALENESS {
+        if is_current(staleness) {
             let detail =
                 format!("{reason}, version {version}, current {} ms ago", staleness.as_millis());
             return Failure::new(kind, detail);
--- a/ibiscroft-listener/src/bounds.rs
+++ b/ibiscroft-listener/src/bounds.rs
@@ -1,12 +1,13 @@
 //! Bounds on what callers can occupy before a handler runs.
 
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 /// Bounds of a listener, which can be changed while it accepts connections.
 #[derive(Debug)]
 pub struct ConnectionBounds {
     max_open: AtomicUsize,
     max_head_bytes: AtomicUsize,
+    is_head_limit_outdated: AtomicBool,
     evicted: AtomicU64,
     refused: AtomicU64,
     refused_heads: AtomicU64,
@@ -18,6 +19,7 @@
         Self {
             max_open: AtomicUsize::new(usize::MAX),
             max_head_bytes: AtomicUsize::new(usize::MAX),
+            is_head_limit_outdated: AtomicBool::new(false),
             evicted: AtomicU64::new(0),
             refused: AtomicU64::new(0),
             refused_heads: AtomicU64::new(0),
@@ -38,6 +40,12 @@
         self.max_head_bytes.store(bytes, Ordering::Relaxed);
     }
 
+    /// Sets whether the maximum size of a request head is known to be the one in force. If not, longer
+    /// heads are answered with 503, which asks the caller to retry, instead of 431.
+    pub fn set_head_limit_current(&self, is_current: bool) {
+        self.is_head_limit_outdated.store(!is_current, Ordering::Relaxed);
+    }
+
     /// Returns the number of connections closed to make a place available for another one.
     #[must_use]
     pub fn evicted_count(&self) -> u64 {
@@ -71,6 +79,10 @@
         self.max_head_bytes.load(Ordering::Relaxed)
     }
 
+    pub(crate) fn is_head_limit_current(&self) -> bool {
+        !self.is_head_limit_outdated.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn count_evicted(&self) {
         self.evicted.fetch_add(1, Ordering::Relaxed);
     }
--- a/ibiscroft-listener/src/connection.rs
+++ b/ibiscroft-listener/src/connection.rs
@@ -25,6 +25,9 @@
 /// Response to a request head that is too long.
 const HEAD_TOO_LONG: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
     Connection: close\r\nContent-Length: 0\r\n\r\n";
+/// Response to a request head that is too long by a limit that may have been raised.
+const HEAD_TOO_LONG_AT_PRESENT: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+    Retry-After: 0.2\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// Response to a request head that is late.
 const HEAD_LATE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -254,7 +257,9 @@
             return Poll::Pending;
         }
         if left == 0 {
-            self.refuse(&mut activity, HEAD_TOO_LONG);
+            let is_final = self.bounds.is_head_limit_current();
+            let response = if is_final { HEAD_TOO_LONG } else { HEAD_TOO_LONG_AT_PRESENT };
+            self.refuse(&mut activity, response);
         }
         Poll::Ready(left.min(MAX_READ_BYTES))
     }
