fix(listener): a connection that cannot be accepted does not end the server

A failed `accept` (the only known one is an error of setting TCP_NODELAY) ended the daemon with all its connections, as the server's loop returned it. It is logged, and the next connection is accepted. Found by the review in reading; no such error was seen, and there is no test.

--- a/ibiscroft-edge/src/server.rs
+++ b/ibiscroft-edge/src/server.rs
@@ -161,7 +161,7 @@
     }
 }
 
-/// Returns a placeholder response for a caller that closed its connection; it is never sent.
+/// Returns a placeholder response for a connection that has been closed.
 fn caller_left() -> Response {
     StatusCode::BAD_REQUEST.into()
 }
--- a/ibiscroft-listener/src/server.rs
+++ b/ibiscroft-listener/src/server.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::io;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,16 +48,12 @@
 
     /// Serves requests with `endpoint` until `stop` completes. Then no connection is accepted, idle
     /// ones are closed, and those with a request in flight get `drain_timeout` to complete it.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if a connection cannot be accepted for a reason that lasts.
     pub async fn run_until<E: Endpoint + 'static>(
         mut self,
         endpoint: E,
         stop: impl Future<Output = ()>,
         drain_timeout: Duration,
-    ) -> io::Result<()> {
+    ) {
         let endpoint = Arc::new(endpoint);
         let phase = watch::Sender::new(Phase::Serving);
         let mut stop = pin!(stop);
@@ -66,7 +61,13 @@
             tokio::select! {
                 () = &mut stop => break,
                 accepted = self.acceptor.accept() => {
-                    let (stream, local, remote, _) = accepted?;
+                    let (stream, local, remote, _) = match accepted {
+                        Ok(accepted) => accepted,
+                        Err(error) => {
+                            log::warn!("connection could not be accepted: {error}");
+                            continue;
+                        }
+                    };
                     let endpoint = Arc::clone(&endpoint);
                     tokio::spawn(serve(stream, local, remote, endpoint, phase.subscribe()));
                 }
@@ -77,7 +78,6 @@
         if tokio::time::timeout(drain_timeout, phase.closed()).await.is_err() {
             phase.send_replace(Phase::Ended);
         }
-        Ok(())
     }
 }
 
