--- a/ibiscroft-listener/src/activity.rs
+++ b/ibiscroft-listener/src/activity.rs
@@ -10,6 +10,8 @@
 
 /// Start of a response.
 const RESPONSE_START: &[u8] = b"HTTP/1.";
+/// Position of the status code in a response; interim responses have a 1 there.
+const STATUS_OFFSET: usize = 9;
 
 /// Phase of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -93,7 +95,8 @@
     /// Records bytes that the server sends; returns whether they are a response to a request that
     /// no handler has processed.
     pub(crate) fn note_sent(&mut self, bytes: &[u8]) -> bool {
-        if !bytes.starts_with(RESPONSE_START) {
+        let is_final = bytes.starts_with(RESPONSE_START) && bytes.get(STATUS_OFFSET) != Some(&b'1');
+        if !is_final {
             return false;
         }
         let was_due = std::mem::replace(&mut self.is_response_due, false);
