fix: connections share the memory for bytes that are received ahead

Callers' connections cost more than the account of bytes counts. While a handler ran, each connection received up to 64 KiB ahead to notice that its caller had left; a body that waited for memory was received that far as well. 1,500 connections held 96 MB so.

The buffers are now charged to a sum for all connections, a 32nd of memory_mb. A connection that gets no room leaves the bytes to the kernel and tries again each half second. A buffer is freed when it is empty; before, a connection kept the size that it once had.

Ruled out: the account itself (half of memory_mb, held), heads (25 to 61 MB, within the bound).

Not enough: the number of connections is not bounded by memory yet.

--- a/ibiscroft-edge/src/caller_bounds.rs
+++ b/ibiscroft-edge/src/caller_bounds.rs
@@ -30,6 +30,11 @@
 /// Smallest number of connections of callers, however small the process or large the fleet.
 const MIN_CALLER_CONNECTIONS: usize = 16;
 
+/// Bytes in a megabyte of the settings.
+const MEGABYTE: f64 = 1e6;
+/// Part of the memory for what connections receive while their requests are processed.
+const READ_AHEAD_FRACTION: f64 = 1.0 / 32.0;
+
 /// Returns the number of requests that may use connections to targets at the same time.
 pub(crate) fn request_slots(max_fds: u32) -> Arc<Semaphore> {
     let descriptors = part(max_fds) + RESERVED_DESCRIPTORS - FIXED_DESCRIPTORS;
@@ -67,6 +72,10 @@
     let mut timer = tokio::time::interval(STALL_CHECK_INTERVAL);
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut reported = Closed::default();
+    if let Some(memory_mb) = shared.settings.memory_mb {
+        let read_ahead = memory_mb * MEGABYTE * READ_AHEAD_FRACTION;
+        connections.bounds().set_max_read_ahead(read_ahead as usize);
+    }
     for number in 0_u32.. {
         timer.tick().await;
         shared.bytes.end_stalled();
--- a/ibiscroft-listener/src/bounds.rs
+++ b/ibiscroft-listener/src/bounds.rs
@@ -7,6 +7,8 @@
 pub struct ConnectionBounds {
     max_open: AtomicUsize,
     max_head_bytes: AtomicUsize,
+    max_read_ahead: AtomicUsize,
+    read_ahead: AtomicUsize,
     evicted: AtomicU64,
     refused: AtomicU64,
     refused_heads: AtomicU64,
@@ -17,6 +19,8 @@
         Self {
             max_open: AtomicUsize::new(usize::MAX),
             max_head_bytes: AtomicUsize::new(usize::MAX),
+            max_read_ahead: AtomicUsize::new(usize::MAX),
+            read_ahead: AtomicUsize::new(0),
             evicted: AtomicU64::new(0),
             refused: AtomicU64::new(0),
             refused_heads: AtomicU64::new(0),
@@ -36,6 +40,12 @@
         self.max_head_bytes.store(bytes, Ordering::Relaxed);
     }
 
+    /// Sets the maximum sum of the bytes that connections receive while their handlers run; at first
+    /// there is none.
+    pub fn set_max_read_ahead(&self, bytes: usize) {
+        self.max_read_ahead.store(bytes, Ordering::Relaxed);
+    }
+
     /// Returns the number of connections closed to make a place available for another one.
     #[must_use]
     pub fn evicted_count(&self) -> u64 {
@@ -63,6 +73,19 @@
         self.max_head_bytes.load(Ordering::Relaxed)
     }
 
+    /// Charges the buffer of a connection that receives ahead; returns whether there was memory for
+    /// it.
+    pub(crate) fn try_charge_read_ahead(&self, bytes: usize) -> bool {
+        let max = self.max_read_ahead.load(Ordering::Relaxed);
+        let add = |held: usize| held.checked_add(bytes).filter(|sum| *sum <= max);
+        self.read_ahead.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).is_ok()
+    }
+
+    /// Releases bytes that were charged.
+    pub(crate) fn release_read_ahead(&self, bytes: usize) {
+        self.read_ahead.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
     pub(crate) fn count_evicted(&self) {
         self.evicted.fetch_add(1, Ordering::Relaxed);
     }
--- a/ibiscroft-listener/src/connection.rs
+++ b/ibiscroft-listener/src/connection.rs
@@ -3,10 +3,9 @@
 use std::io;
 use std::net::Shutdown;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll, Waker, ready};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
-use bytes::{Buf, BytesMut};
 use socket2::SockRef;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
@@ -14,11 +13,11 @@
 
 use crate::activity::{Activity, Phase};
 use crate::bounds::ConnectionBounds;
+use crate::read_ahead::{READ_AHEAD_CHUNK_BYTES, ReadAhead};
 
-/// Maximum number of bytes that are received while a handler runs, to notice the close behind them.
-const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
-/// Number of bytes received at once while a handler runs.
-const READ_AHEAD_CHUNK_BYTES: usize = 4 << 10;
+/// Time after which a connection that could not receive ahead tries again: the memory may have been
+/// freed by another one.
+const READ_AHEAD_RETRY: Duration = Duration::from_millis(500);
 /// Maximum number of bytes that the server receives at once; it allocates a multiple of what it
 /// received before.
 const MAX_READ_BYTES: usize = 16 << 10;
@@ -58,15 +57,6 @@
     }
 }
 
-/// Bytes received while a handler runs, such as further requests of a caller that does not wait for
-/// responses.
-#[derive(Debug, Default)]
-struct ReadAhead {
-    buf: BytesMut,
-    /// Task of the server that waits for bytes.
-    waker: Option<Waker>,
-}
-
 /// Result of receiving ahead.
 enum ReadAheadOutcome {
     Received,
@@ -80,7 +70,7 @@
         Self {
             stream,
             ended: watch::Sender::new(false),
-            read_ahead: Mutex::default(),
+            read_ahead: Mutex::new(ReadAhead::new(Arc::clone(&bounds))),
             drained: Notify::new(),
             activity: Mutex::new(Activity::new()),
             bounds,
@@ -113,9 +103,7 @@
         }
         self.refuse(&mut activity, HEAD_LATE);
         drop(activity);
-        if let Some(waker) = self.lock_read_ahead().waker.take() {
-            waker.wake();
-        }
+        self.lock_read_ahead().wake();
     }
 
     /// Sends a response in place of the server, as far as the kernel takes it, and ends what the
@@ -138,7 +126,8 @@
     /// Waits until the caller has closed its sending half of the connection, or the connection has
     /// been closed or has failed.
     ///
-    /// The close is noticed behind up to 64 KiB of further requests.
+    /// The close is noticed behind up to 64 KiB of further requests, or less while other
+    /// connections use the memory for them.
     pub async fn ended(&self) {
         let mut ended = self.ended.subscribe();
         tokio::select! {
@@ -162,7 +151,11 @@
             }
             match self.receive_ahead() {
                 ReadAheadOutcome::Received | ReadAheadOutcome::WouldBlock => {}
-                ReadAheadOutcome::Full => self.drained.notified().await,
+                ReadAheadOutcome::Full => {
+                    let drained = self.drained.notified();
+                    // After the timeout there may be memory for more.
+                    let _ = tokio::time::timeout(READ_AHEAD_RETRY, drained).await;
+                }
                 ReadAheadOutcome::Ended => break,
             }
         }
@@ -172,23 +165,22 @@
     /// Receives bytes that have arrived, without waiting.
     fn receive_ahead(&self) -> ReadAheadOutcome {
         let mut read_ahead = self.lock_read_ahead();
-        let room = MAX_READ_AHEAD_BYTES.saturating_sub(read_ahead.buf.len());
+        let room = read_ahead.make_room();
         if room == 0 {
             return ReadAheadOutcome::Full;
         }
         let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
-        match self.stream.try_read(&mut chunk[..room.min(READ_AHEAD_CHUNK_BYTES)]) {
+        let outcome = match self.stream.try_read(&mut chunk[..room]) {
             Ok(0) => ReadAheadOutcome::Ended,
             Ok(count) => {
-                read_ahead.buf.extend_from_slice(&chunk[..count]);
-                if let Some(waker) = read_ahead.waker.take() {
-                    waker.wake();
-                }
+                read_ahead.push(&chunk[..count]);
                 ReadAheadOutcome::Received
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => ReadAheadOutcome::WouldBlock,
             Err(_) => ReadAheadOutcome::Ended,
-        }
+        };
+        read_ahead.free_if_empty();
+        outcome
     }
 
     /// Receives bytes for the server; none mean the end of the connection.
@@ -242,7 +234,7 @@
         if activity.is_write_blocked {
             activity.paused_reader = Some(cx.waker().clone());
             // The end of the request head's time wakes this one.
-            self.lock_read_ahead().waker = Some(cx.waker().clone());
+            self.lock_read_ahead().wake_on_bytes(cx);
             return Poll::Pending;
         }
         let left = self.bounds.max_head_bytes().saturating_sub(activity.head_bytes);
@@ -272,13 +264,10 @@
     /// `cx` is woken when some are.
     fn take_read_ahead(&self, cx: &Context<'_>, buf: &mut ReadBuf<'_>, max_bytes: usize) -> bool {
         let mut read_ahead = self.lock_read_ahead();
-        let count = read_ahead.buf.len().min(buf.remaining()).min(max_bytes);
-        if count == 0 {
-            read_ahead.waker = Some(cx.waker().clone());
+        if read_ahead.take(buf, max_bytes) == 0 {
+            read_ahead.wake_on_bytes(cx);
             return false;
         }
-        buf.put_slice(&read_ahead.buf[..count]);
-        read_ahead.buf.advance(count);
         self.drained.notify_one();
         true
     }
--- a/ibiscroft-listener/src/lib.rs
+++ b/ibiscroft-listener/src/lib.rs
@@ -11,6 +11,7 @@
 mod bounds;
 mod connection;
 mod connections;
+mod read_ahead;
 mod send_window;
 
 pub use acceptor::{ConnectionAcceptor, ConnectionStream};
