--- a/ibiscroft-edge/src/caller_bounds.rs
+++ b/ibiscroft-edge/src/caller_bounds.rs
@@ -35,6 +35,12 @@
 /// Part of the memory for what connections receive while their requests are processed.
 const READ_AHEAD_FRACTION: f64 = 1.0 / 32.0;
 
+/// Part of the memory for the connections of callers, beside the account of bytes.
+const CONNECTIONS_FRACTION: f64 = 1.0 / 3.0;
+/// Memory that a connection of a caller takes at most, in bytes: 64 KiB for the buffers and tasks of
+/// the server and of its request to a target, and 32 KiB that have arrived and are not read yet.
+const CONNECTION_BYTES: f64 = 98_304.0;
+
 /// Returns the number of requests that may use connections to targets at the same time.
 pub(crate) fn request_slots(max_fds: u32) -> Arc<Semaphore> {
     let descriptors = part(max_fds) + RESERVED_DESCRIPTORS - FIXED_DESCRIPTORS;
@@ -58,6 +64,12 @@
     left.saturating_sub(others).max(MIN_CALLER_CONNECTIONS)
 }
 
+/// Returns the maximum number of connections of callers in this memory, in megabytes.
+fn max_connections_in(memory_mb: f64) -> usize {
+    let count = memory_mb * MEGABYTE * CONNECTIONS_FRACTION / CONNECTION_BYTES;
+    (count as usize).max(MIN_CALLER_CONNECTIONS)
+}
+
 /// Counts of closed connections so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Closed {
@@ -72,6 +84,8 @@
     let mut timer = tokio::time::interval(STALL_CHECK_INTERVAL);
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut reported = Closed::default();
+    let max_in_memory = shared.settings.memory_mb.map_or(usize::MAX, max_connections_in);
+    connections.bounds().set_max_open(max_in_memory);
     if let Some(memory_mb) = shared.settings.memory_mb {
         let read_ahead = memory_mb * MEGABYTE * READ_AHEAD_FRACTION;
         connections.bounds().set_max_read_ahead(read_ahead as usize);
@@ -86,7 +100,7 @@
         if let Some(max_fds) = shared.settings.max_fds {
             let (targets, gateways) = (view.targets().count(), view.member_count());
             let max_open = max_caller_connections(max_fds, targets, gateways);
-            connections.bounds().set_max_open(max_open);
+            connections.bounds().set_max_open(max_open.min(max_in_memory));
             shared.pool.set_max_idle(max_idle_connections(max_fds, targets));
         }
         if let Some(configuration) = view.configuration() {
