--- a/ibiscroft-edge/src/caller_bounds.rs
+++ b/ibiscroft-edge/src/caller_bounds.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ibiscroft_core::fleet::STALL_TIME;
 use ibiscroft_listener::ConnectionRegistry;
 use tokio::sync::Semaphore;
 
@@ -107,6 +108,9 @@
             connections.bounds().set_max_head_bytes(configuration.limits.header_bytes);
             connections.refuse_late_heads(configuration.limits.header_timeout);
         }
+        if shared.request_slots.as_ref().is_some_and(|slots| slots.available_permits() == 0) {
+            connections.close_unread(STALL_TIME);
+        }
         let metrics = &shared.metrics;
         let (bytes, waiting) = shared.bytes.usage();
         metrics.bytes_held.set(bytes.cast_signed());
@@ -125,7 +129,7 @@
         evicted: bounds.evicted_count(),
         refused: bounds.refused_count(),
         heads: bounds.refused_head_count(),
-        stalled: shared.bytes.ended_count(),
+        stalled: shared.bytes.ended_count() + bounds.unread_count(),
     };
     if closed == *reported {
         return;
--- a/ibiscroft-edge/src/events.rs
+++ b/ibiscroft-edge/src/events.rs
@@ -72,7 +72,7 @@
     TargetUnreachable 6106 Info "A probe of a target failed; the target is excluded for a short backoff.",
     TargetLeaving 6109 Info "A target announced in a response that it is leaving; it receives no further requests.",
     TargetResting 6110 Warn "A target turned a request away and asked for a rest; until it ends this gateway sends it neither requests nor probes.",
-    CallersClosed 6111 Warn "Connections of callers were closed since the last report, at most one a second: unused ones for new ones (evicted), new ones without a place (refused), for request heads that were too long or late (heads), and for bodies and responses that stalled while others waited for memory (stalled).",
+    CallersClosed 6111 Warn "Connections of callers were closed since the last report, at most one a second: unused or stalled ones for new ones (evicted), new ones without a place (refused), for request heads that were too long or late (heads), and for bodies and responses that stalled while others waited for memory or for a place among the requests in flight (stalled).",
     TargetTriedLast 6112 Info "A target is tried only if no others are left: it is not at its address by this gateway's own finding, or by the reports of two others.",
     TargetReturned 6113 Info "A target that was tried last responds again, at this gateway or at another one.",
     RequestHeld 6108 Info "All probed targets are near saturation or slow; the request is held before others are probed.",
--- a/ibiscroft-edge/src/server.rs
+++ b/ibiscroft-edge/src/server.rs
@@ -39,10 +39,17 @@
     }
 
     /// Handles a request, after the first configuration has arrived or its wait has timed out.
-    async fn serve(&self, mut req: Request) -> (Reply, Option<OwnedSemaphorePermit>) {
+    async fn serve(
+        &self,
+        mut req: Request,
+        request: &RequestGuard,
+    ) -> (Reply, Option<OwnedSemaphorePermit>) {
         let received = self.shared.clock.now();
         self.shared.wait_for_first_configuration().await;
-        match identify::<D>(&mut req, &self.shared, received).await {
+        request.begin_body();
+        let identified = identify::<D>(&mut req, &self.shared, received).await;
+        request.end_body();
+        match identified {
             Ok(ex) => match self.wait_for_slot(ex.deadline).await {
                 Ok(slot) => (self.chain.handle(&ex).await, slot),
                 Err(failure) => {
@@ -130,7 +137,7 @@
             // First, so that no request behind others is started for a caller that has left.
             biased;
             () = connection.ended() => return Ok(caller_left()),
-            reply = self.serve(req) => reply,
+            reply = self.serve(req, &request) => reply,
         };
         let mut res = Self::respond(reply, &connection, request, slot);
         if self.shared.is_closing() {
--- a/ibiscroft-listener/src/activity.rs
+++ b/ibiscroft-listener/src/activity.rs
@@ -1,7 +1,7 @@
 //! What the caller of a connection does between the requests that handlers process.
 
 use std::task::Waker;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::send_window::SentBytes;
 
@@ -15,15 +15,24 @@
     Idle,
     /// A request head is being received.
     Head,
+    /// A handler receives the body of a request.
+    Body,
     /// A handler processes a request.
     Handling,
+    /// This side has closed, and what the caller still sends is discarded.
+    Lingering,
 }
 
+/// Time without progress after which a connection whose request is being received or whose response
+/// is being sent counts as unused.
+const STALL_TIME: Duration = Duration::from_millis(500);
+
 /// State of a connection between requests.
 #[derive(Debug)]
 pub(crate) struct Activity {
     pub(crate) phase: Phase,
-    /// When the phase began; in the idle phase, when bytes were last sent if that is later.
+    /// When the phase began; if that is later, when bytes were last sent in the idle phase or
+    /// received of a body.
     pub(crate) since: Instant,
     /// Bytes received since a handler last ran.
     pub(crate) head_bytes: usize,
@@ -33,8 +42,8 @@
     preface_bytes: usize,
     /// Whether the connection is being closed and nothing more is read from it.
     pub(crate) is_refused: bool,
-    /// Whether the kernel takes no more bytes for the caller.
-    pub(crate) is_write_blocked: bool,
+    /// Since when the kernel takes no more bytes for the caller.
+    write_blocked_since: Option<Instant>,
     /// Task of the server whose reads are paused until the kernel takes bytes again.
     pub(crate) paused_reader: Option<Waker>,
     /// Bytes that the kernel has taken for the caller.
@@ -50,7 +59,7 @@
             is_head_full: false,
             preface_bytes: 0,
             is_refused: false,
-            is_write_blocked: false,
+            write_blocked_since: None,
             paused_reader: None,
             sent: SentBytes::default(),
         }
@@ -65,30 +74,61 @@
             let differs = common < rest.len().min(bytes.len());
             self.preface_bytes = if differs { usize::MAX } else { self.preface_bytes + common };
         }
-        if self.phase != Phase::Handling && !bytes.is_empty() {
-            self.head_bytes += bytes.len();
-            if self.phase == Phase::Idle {
+        match self.phase {
+            _ if bytes.is_empty() => {}
+            Phase::Idle => {
                 self.phase = Phase::Head;
                 self.since = Instant::now();
+                self.head_bytes += bytes.len();
             }
+            Phase::Head => self.head_bytes += bytes.len(),
+            Phase::Body => self.since = Instant::now(),
+            Phase::Handling | Phase::Lingering => {}
         }
         self.preface_bytes == HTTP2_PREFACE.len()
     }
 
-    /// Begins a phase.
+    /// Begins a phase; none follows [`Phase::Lingering`].
     pub(crate) fn begin(&mut self, phase: Phase) {
+        if self.phase == Phase::Lingering {
+            return;
+        }
         self.phase = phase;
         self.since = Instant::now();
         self.head_bytes = 0;
         self.is_head_full = false;
     }
 
+    /// Returns whether the kernel takes no more bytes for the caller.
+    pub(crate) const fn is_write_blocked(&self) -> bool {
+        self.write_blocked_since.is_some()
+    }
+
+    /// Returns whether the kernel has taken no bytes for the caller for at least `timeout`.
+    pub(crate) fn is_unread_for(&self, timeout: Duration) -> bool {
+        self.write_blocked_since.is_some_and(|since| since.elapsed() >= timeout)
+    }
+
+    /// Returns since when the connection has not been used: no handler works on a request, and the
+    /// caller has neither completed a request nor received bytes.
+    ///
+    /// A caller that sends a body or receives a response has [`STALL_TIME`] before that.
+    pub(crate) fn unused_since(&self) -> Option<Instant> {
+        let stalled_since = match self.phase {
+            Phase::Idle | Phase::Head | Phase::Lingering => return Some(self.since),
+            Phase::Body => self.since,
+            Phase::Handling => self.write_blocked_since?,
+        };
+        (stalled_since.elapsed() >= STALL_TIME).then_some(stalled_since)
+    }
+
     /// Records whether the kernel took bytes for the caller.
     pub(crate) fn note_write(&mut self, is_blocked: bool) {
-        self.is_write_blocked = is_blocked;
         if is_blocked {
+            self.write_blocked_since.get_or_insert_with(Instant::now);
             return;
         }
+        self.write_blocked_since = None;
         if self.phase == Phase::Idle {
             self.since = Instant::now();
         }
--- a/ibiscroft-listener/src/bounds.rs
+++ b/ibiscroft-listener/src/bounds.rs
@@ -12,6 +12,7 @@
     evicted: AtomicU64,
     refused: AtomicU64,
     refused_heads: AtomicU64,
+    unread: AtomicU64,
 }
 
 impl Default for ConnectionBounds {
@@ -24,6 +25,7 @@
             evicted: AtomicU64::new(0),
             refused: AtomicU64::new(0),
             refused_heads: AtomicU64::new(0),
+            unread: AtomicU64::new(0),
         }
     }
 }
@@ -65,6 +67,12 @@
         self.refused_heads.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of connections closed because their callers did not read a response.
+    #[must_use]
+    pub fn unread_count(&self) -> u64 {
+        self.unread.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn max_open(&self) -> usize {
         self.max_open.load(Ordering::Relaxed)
     }
@@ -97,4 +105,8 @@
     pub(crate) fn count_refused_head(&self) {
         self.refused_heads.fetch_add(1, Ordering::Relaxed);
     }
+
+    pub(crate) fn count_unread(&self) {
+        self.unread.fetch_add(1, Ordering::Relaxed);
+    }
 }
--- a/ibiscroft-listener/src/connection.rs
+++ b/ibiscroft-listener/src/connection.rs
@@ -51,6 +51,19 @@
 #[derive(Debug)]
 pub struct RequestGuard(Arc<Connection>);
 
+impl RequestGuard {
+    /// Records that the handler receives the body of the request, until [`Self::end_body`]. Meanwhile
+    /// the connection may be closed for another one if its caller stalls.
+    pub fn begin_body(&self) {
+        self.0.lock_activity().begin(Phase::Body);
+    }
+
+    /// Records that the handler has received the body of the request.
+    pub fn end_body(&self) {
+        self.0.lock_activity().begin(Phase::Handling);
+    }
+}
+
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.0.lock_activity().begin(Phase::Idle);
@@ -86,12 +99,23 @@
         RequestGuard(Arc::clone(self))
     }
 
-    /// Returns since when no handler has processed a request and the caller has neither completed
-    /// a request head nor received bytes; `None` while a handler runs or after the end.
-    pub(crate) fn unused_since(&self) -> Option<Instant> {
+    /// Returns since when the connection has not been used, and whether this side has closed it
+    /// already and only waits for the caller; `None` if it is in use or has ended.
+    pub(crate) fn unused_since(&self) -> Option<(bool, Instant)> {
         let activity = self.lock_activity();
-        let is_unused = activity.phase != Phase::Handling && !self.has_ended();
-        is_unused.then_some(activity.since)
+        let is_lingering = activity.phase == Phase::Lingering;
+        let since = activity.unused_since().filter(|_| is_lingering || !self.has_ended())?;
+        Some((is_lingering, since))
+    }
+
+    /// Closes the connection if its caller has received no bytes of a response for `timeout`; returns
+    /// whether it did.
+    pub(crate) fn close_unread(&self, timeout: Duration) -> bool {
+        let is_unread = self.lock_activity().is_unread_for(timeout) && !self.has_ended();
+        if is_unread {
+            self.close();
+        }
+        is_unread
     }
 
     /// Closes the connection if a request head has not arrived completely within `timeout`.
@@ -111,7 +135,7 @@
     fn refuse(&self, activity: &mut Activity, response: &[u8]) {
         activity.is_refused = true;
         self.bounds.count_refused_head();
-        if !activity.is_write_blocked {
+        if !activity.is_write_blocked() {
             // The connection is closed whether or not the caller receives this.
             let _ = self.stream.try_write(response);
         }
@@ -228,10 +252,10 @@
         if activity.is_refused {
             return Poll::Ready(0);
         }
-        if activity.phase == Phase::Handling {
+        if matches!(activity.phase, Phase::Body | Phase::Handling) {
             return Poll::Ready(MAX_READ_BYTES);
         }
-        if activity.is_write_blocked {
+        if activity.is_write_blocked() {
             activity.paused_reader = Some(cx.waker().clone());
             // The end of the request head's time wakes this one.
             self.lock_read_ahead().wake_on_bytes(cx);
@@ -318,6 +342,7 @@
     /// A connection that is closed with unread bytes is reset, and the caller may lose the last
     /// response.
     pub(crate) async fn linger(&self) {
+        self.lock_activity().begin(Phase::Lingering);
         self.shutdown_write();
         let discard = async {
             let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
--- a/ibiscroft-listener/src/connections.rs
+++ b/ibiscroft-listener/src/connections.rs
@@ -43,19 +43,32 @@
         }
     }
 
-    /// Closes the connection that has been idle or incomplete for the longest time; returns whether
-    /// there is one.
+    /// Closes the connection that has been unused for the longest time, or one that this side has
+    /// closed already and that waits for its caller; returns whether there is one.
     pub(crate) fn close_longest_unused(&self) -> bool {
         let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
         let unused = open.values().filter_map(|open| Some((open.unused_since()?, open)));
-        let Some((_, connection)) = unused.min_by_key(|(since, _)| *since) else {
+        let first = unused.min_by_key(|((is_lingering, since), _)| (!is_lingering, *since));
+        let Some(((is_lingering, _), connection)) = first else {
             return false;
         };
         connection.close();
-        self.bounds.count_evicted();
+        if !is_lingering {
+            self.bounds.count_evicted();
+        }
         true
     }
 
+    /// Closes the connections whose callers have received no bytes of a response for `timeout`.
+    pub fn close_unread(&self, timeout: Duration) {
+        let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
+        for connection in open.values() {
+            if connection.close_unread(timeout) {
+                self.bounds.count_unread();
+            }
+        }
+    }
+
     /// Closes all open connections.
     pub fn close_all(&self) {
         let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
