fix: a stalled body gives its place up with a refusal

The handler is now asked to refuse the request: 503 no_memory with Retry-After, which is true, as an incomplete body is never forwarded. The connection then lingers and is closed when its place is needed.

--- a/ibiscroft-edge/src/server.rs
+++ b/ibiscroft-edge/src/server.rs
@@ -42,12 +42,16 @@
     async fn serve(
         &self,
         mut req: Request,
+        connection: &Connection,
         request: &RequestGuard,
     ) -> (Reply, Option<OwnedSemaphorePermit>) {
         let received = self.shared.clock.now();
         self.shared.wait_for_first_configuration().await;
         request.begin_body();
-        let identified = identify::<D>(&mut req, &self.shared, received).await;
+        let identified = tokio::select! {
+            () = connection.body_given_up() => Err(body_given_up()),
+            identified = identify::<D>(&mut req, &self.shared, received) => identified,
+        };
         request.end_body();
         match identified {
             Ok(ex) => match self.wait_for_slot(ex.deadline).await {
@@ -137,7 +141,7 @@
             // First, so that no request behind others is started for a caller that has left.
             biased;
             () = connection.ended() => return Ok(caller_left()),
-            reply = self.serve(req, &request) => reply,
+            reply = self.serve(req, &connection, &request) => reply,
         };
         let mut res = Self::respond(reply, &connection, request, slot);
         if self.shared.is_closing() {
@@ -162,6 +166,12 @@
     }
 }
 
+/// Returns the refusal of a request whose body makes no progress while others need its connection.
+fn body_given_up() -> Failure {
+    let detail = "the body made no progress while others waited for a connection";
+    Failure::new(FailureKind::NoMemory, detail).retry_after(SLOT_RETRY_AFTER)
+}
+
 /// Returns a placeholder response for a caller that closed its connection; it is never sent.
 fn caller_left() -> Response {
     StatusCode::BAD_REQUEST.into()
--- a/ibiscroft-listener/src/acceptor.rs
+++ b/ibiscroft-listener/src/acceptor.rs
@@ -58,6 +58,8 @@
             if connections.open_count() < connections.bounds().max_open() {
                 return true;
             }
+            // The closed one may have been given up by its handler and now wait for its caller.
+            connections.close_lingering();
         }
         false
     }
--- a/ibiscroft-listener/src/activity.rs
+++ b/ibiscroft-listener/src/activity.rs
@@ -42,6 +42,8 @@
     preface_bytes: usize,
     /// Whether the connection is being closed and nothing more is read from it.
     pub(crate) is_refused: bool,
+    /// Whether the handler has been asked to refuse the request whose body it receives.
+    pub(crate) is_body_given_up: bool,
     /// Since when the kernel takes no more bytes for the caller.
     write_blocked_since: Option<Instant>,
     /// Task of the server whose reads are paused until the kernel takes bytes again.
@@ -59,6 +61,7 @@
             is_head_full: false,
             preface_bytes: 0,
             is_refused: false,
+            is_body_given_up: false,
             write_blocked_since: None,
             paused_reader: None,
             sent: SentBytes::default(),
@@ -97,6 +100,7 @@
         self.since = Instant::now();
         self.head_bytes = 0;
         self.is_head_full = false;
+        self.is_body_given_up = false;
     }
 
     /// Returns whether the kernel takes no more bytes for the caller.
@@ -104,9 +108,10 @@
         self.write_blocked_since.is_some()
     }
 
-    /// Returns whether the kernel has taken no bytes for the caller for at least `timeout`.
+    /// Returns whether the kernel has taken no bytes of a response for at least `timeout`.
     pub(crate) fn is_unread_for(&self, timeout: Duration) -> bool {
-        self.write_blocked_since.is_some_and(|since| since.elapsed() >= timeout)
+        self.phase == Phase::Handling
+            && self.write_blocked_since.is_some_and(|since| since.elapsed() >= timeout)
     }
 
     /// Returns since when the connection has not been used: no handler works on a request, and the
@@ -116,6 +121,7 @@
     pub(crate) fn unused_since(&self) -> Option<Instant> {
         let stalled_since = match self.phase {
             Phase::Idle | Phase::Head | Phase::Lingering => return Some(self.since),
+            Phase::Body if self.is_body_given_up => return None,
             Phase::Body => self.since,
             Phase::Handling => self.write_blocked_since?,
         };
--- a/ibiscroft-listener/src/connection.rs
+++ b/ibiscroft-listener/src/connection.rs
@@ -40,6 +40,8 @@
 pub struct Connection {
     stream: TcpStream,
     ended: watch::Sender<bool>,
+    /// Notified when the body that a handler receives is given up for another connection.
+    body_given_up: Notify,
     read_ahead: Mutex<ReadAhead>,
     /// Notified when the server takes bytes out of a full `read_ahead`.
     drained: Notify,
@@ -53,7 +55,7 @@
 
 impl RequestGuard {
     /// Records that the handler receives the body of the request, until [`Self::end_body`]. Meanwhile
-    /// the connection may be closed for another one if its caller stalls.
+    /// [`Connection::body_given_up`] may ask it to refuse the request.
     pub fn begin_body(&self) {
         self.0.lock_activity().begin(Phase::Body);
     }
@@ -83,6 +85,7 @@
         Self {
             stream,
             ended: watch::Sender::new(false),
+            body_given_up: Notify::new(),
             read_ahead: Mutex::new(ReadAhead::new(Arc::clone(&bounds))),
             drained: Notify::new(),
             activity: Mutex::new(Activity::new()),
@@ -141,6 +144,28 @@
         }
     }
 
+    /// Closes the connection for another one. A handler that receives a body is notified instead, so
+    /// that it refuses the request.
+    pub(crate) fn evict(&self) {
+        let mut activity = self.lock_activity();
+        if activity.phase == Phase::Body {
+            activity.is_body_given_up = true;
+            self.body_given_up.notify_one();
+        } else {
+            drop(activity);
+            self.close();
+        }
+    }
+
+    /// Waits until the body that a handler receives is given up, because its caller stalls and
+    /// another connection needs the place.
+    pub async fn body_given_up(&self) {
+        // A notice that came after the end of an earlier body is void.
+        while !self.lock_activity().is_body_given_up {
+            self.body_given_up.notified().await;
+        }
+    }
+
     /// Closes the connection in both directions.
     pub fn close(&self) {
         let _ = SockRef::from(&self.stream).shutdown(Shutdown::Both);
--- a/ibiscroft-listener/src/connections.rs
+++ b/ibiscroft-listener/src/connections.rs
@@ -52,13 +52,24 @@
         let Some(((is_lingering, _), connection)) = first else {
             return false;
         };
-        connection.close();
+        connection.evict();
         if !is_lingering {
             self.bounds.count_evicted();
         }
         true
     }
 
+    /// Closes a connection that this side has closed already and that waits for its caller.
+    pub(crate) fn close_lingering(&self) {
+        let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
+        for connection in open.values() {
+            if connection.unused_since().is_some_and(|(is_lingering, _)| is_lingering) {
+                connection.close();
+                return;
+            }
+        }
+    }
+
     /// Closes the connections whose callers have received no bytes of a response for `timeout`.
     pub fn close_unread(&self, timeout: Duration) {
         let open = self.open.read().unwrap_or_else(PoisonError::into_inner);
