fix: count 112 KiB for a connection of a caller

Large chunks took 74,016 kB of 78,125 with 271 connections: 75 kB for each beside the account (40 MB), the bytes received ahead (2.5 MB) and the process (11.3 MB), where 64 KiB were counted. 80 KiB are counted now, and 32 KiB for the kernel as before: 232 connections at 80 MB, 465 at 160, 755 at 260, 1,488 at 512.

--- a/ibiscroft-edge/src/caller_bounds.rs
+++ b/ibiscroft-edge/src/caller_bounds.rs
@@ -38,9 +38,9 @@
 
 /// Part of the memory for the connections of callers, beside the account of bytes.
 const CONNECTIONS_FRACTION: f64 = 1.0 / 3.0;
-/// Memory that a connection of a caller takes at most, in bytes: 64 KiB for the buffers and tasks of
+/// Memory that a connection of a caller takes at most, in bytes: 80 KiB for the buffers and tasks of
 /// the server and of its request to a target, and 32 KiB that have arrived and are not read yet.
-const CONNECTION_BYTES: f64 = 98_304.0;
+const CONNECTION_BYTES: f64 = 114_688.0;
 
 /// Returns the number of requests that may use connections to targets at the same time.
 pub(crate) fn request_slots(max_fds: u32) -> Arc<Semaphore> {
