--- a/ibiscroft-edge/src/caller_bounds.rs
+++ b/ibiscroft-edge/src/caller_bounds.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use ibiscroft_core::fleet::STALL_TIME;
 use ibiscroft_listener::ConnectionRegistry;
 use tokio::sync::Semaphore;
 
@@ -32,6 +33,17 @@
 /// Smallest number of connections of callers, however small the process or large the fleet.
 const MIN_CALLER_CONNECTIONS: usize = 16;
 
+/// Bytes in a megabyte of the settings.
+const MEGABYTE: f64 = 1e6;
+/// Part of the memory for what connections receive while their requests are processed.
+const READ_AHEAD_FRACTION: f64 = 1.0 / 32.0;
+
+/// Part of the memory for the connections of callers, beside the account of bytes.
+const CONNECTIONS_FRACTION: f64 = 1.0 / 3.0;
+/// Memory that a connection of a caller takes at most, in bytes: 80 KiB for the buffers and tasks of
+/// the server and of its request to a target, and 32 KiB that have arrived and are not read yet.
+const CONNECTION_BYTES: f64 = 114_688.0;
+
 /// Returns the number of requests that may use connections to targets at the same time.
 pub(crate) fn request_slots(max_fds: u32) -> Arc<Semaphore> {
     let descriptors = part(max_fds) + RESERVED_DESCRIPTORS - FIXED_DESCRIPTORS;
@@ -55,6 +67,12 @@
     left.saturating_sub(others).max(MIN_CALLER_CONNECTIONS)
 }
 
+/// Returns the maximum number of connections of callers in this memory, in megabytes.
+fn max_connections_in(memory_mb: f64) -> usize {
+    let count = memory_mb * MEGABYTE * CONNECTIONS_FRACTION / CONNECTION_BYTES;
+    (count as usize).max(MIN_CALLER_CONNECTIONS)
+}
+
 /// Counts of closed connections so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Closed {
@@ -70,6 +88,12 @@
     let mut timer = tokio::time::interval(STALL_CHECK_INTERVAL);
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut reported = Closed::default();
+    let max_in_memory = shared.settings.memory_mb.map_or(usize::MAX, max_connections_in);
+    connections.bounds().set_max_open(max_in_memory);
+    if let Some(memory_mb) = shared.settings.memory_mb {
+        let read_ahead = memory_mb * MEGABYTE * READ_AHEAD_FRACTION;
+        connections.bounds().set_max_read_ahead(read_ahead as usize);
+    }
     for number in 0_u32.. {
         timer.tick().await;
         shared.bytes.end_stalled();
@@ -82,7 +106,7 @@
         if let Some(max_fds) = shared.settings.max_fds {
             let (targets, gateways) = (view.targets().count(), view.member_count());
             let max_open = max_caller_connections(max_fds, targets, gateways);
-            connections.bounds().set_max_open(max_open);
+            connections.bounds().set_max_open(max_open.min(max_in_memory));
             shared.pool.set_max_idle(max_idle_connections(max_fds, targets));
         }
         // At the start the view becomes current between two of these checks.
@@ -92,6 +116,9 @@
             connections.bounds().set_max_head_bytes(configuration.limits.header_bytes);
             connections.refuse_late_heads(configuration.limits.header_timeout);
         }
+        if shared.request_slots.as_ref().is_some_and(|slots| slots.available_permits() == 0) {
+            connections.close_unread(STALL_TIME);
+        }
         let metrics = &shared.metrics;
         let (bytes, waiting) = shared.bytes.usage();
         metrics.bytes_held.set(bytes.cast_signed());
@@ -110,7 +137,7 @@
         evicted: bounds.evicted_count(),
         refused: bounds.refused_count(),
         heads: bounds.refused_head_count(),
-        stalled: shared.bytes.ended_count(),
+        stalled: shared.bytes.ended_count() + bounds.unread_count(),
         unhandled: bounds.unhandled_count(),
     };
     if closed == *reported {
--- a/ibiscroft-edge/src/server.rs
+++ b/ibiscroft-edge/src/server.rs
@@ -39,10 +39,21 @@
     }
 
     /// Handles a request, after the first configuration has arrived or its wait has timed out.
-    async fn serve(&self, mut req: Request) -> (Reply, Option<OwnedSemaphorePermit>) {
+    async fn serve(
+        &self,
+        mut req: Request,
+        connection: &Connection,
+        request: &RequestGuard,
+    ) -> (Reply, Option<OwnedSemaphorePermit>) {
         let received = self.shared.clock.now();
         self.shared.wait_for_first_configuration().await;
-        match identify::<D>(&mut req, &self.shared, received).await {
+        request.begin_body();
+        let identified = tokio::select! {
+            () = connection.body_given_up() => Err(body_given_up()),
+            identified = identify::<D>(&mut req, &self.shared, received) => identified,
+        };
+        request.end_body();
+        match identified {
             Ok(ex) => match self.wait_for_slot(ex.deadline).await {
                 Ok(slot) => (self.chain.handle(&ex).await, slot),
                 Err(failure) => {
@@ -136,7 +147,7 @@
                 connection.close();
                 return Ok(caller_left());
             }
-            reply = self.serve(req) => reply,
+            reply = self.serve(req, &connection, &request) => reply,
         };
         let mut res = Self::respond(reply, &connection, request, slot);
         if self.shared.is_closing() {
@@ -161,6 +172,12 @@
     }
 }
 
+/// Returns the refusal of a request whose body makes no progress while others need its connection.
+fn body_given_up() -> Failure {
+    let detail = "the body made no progress while others waited for a connection";
+    Failure::new(FailureKind::NoMemory, detail).retry_after(SLOT_RETRY_AFTER)
+}
+
 /// Returns a placeholder response for a connection that has been closed.
 fn caller_left() -> Response {
     StatusCode::BAD_REQUEST.into()
--- a/ibiscroft-listener/src/bounds.rs
+++ b/ibiscroft-listener/src/bounds.rs
@@ -8,10 +8,13 @@
     max_open: AtomicUsize,
     max_head_bytes: AtomicUsize,
     is_head_limit_outdated: AtomicBool,
+    max_read_ahead: AtomicUsize,
+    read_ahead: AtomicUsize,
     evicted: AtomicU64,
     refused: AtomicU64,
     refused_heads: AtomicU64,
     unhandled: AtomicU64,
+    unread: AtomicU64,
 }
 
 impl Default for ConnectionBounds {
@@ -20,10 +23,13 @@
             max_open: AtomicUsize::new(usize::MAX),
             max_head_bytes: AtomicUsize::new(usize::MAX),
             is_head_limit_outdated: AtomicBool::new(false),
+            max_read_ahead: AtomicUsize::new(usize::MAX),
+            read_ahead: AtomicUsize::new(0),
             evicted: AtomicU64::new(0),
             refused: AtomicU64::new(0),
             refused_heads: AtomicU64::new(0),
             unhandled: AtomicU64::new(0),
+            unread: AtomicU64::new(0),
         }
     }
 }
@@ -46,6 +52,12 @@
         self.is_head_limit_outdated.store(!is_current, Ordering::Relaxed);
     }
 
+    /// Sets the maximum sum of the bytes that connections receive while their handlers run; at first
+    /// there is none.
+    pub fn set_max_read_ahead(&self, bytes: usize) {
+        self.max_read_ahead.store(bytes, Ordering::Relaxed);
+    }
+
     /// Returns the number of connections closed to make a place available for another one.
     #[must_use]
     pub fn evicted_count(&self) -> u64 {
@@ -71,6 +83,12 @@
         self.unhandled.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of connections closed because their callers did not read a response.
+    #[must_use]
+    pub fn unread_count(&self) -> u64 {
+        self.unread.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn max_open(&self) -> usize {
         self.max_open.load(Ordering::Relaxed)
     }
@@ -83,6 +101,19 @@
         !self.is_head_limit_outdated.load(Ordering::Relaxed)
     }
 
+    /// Charges the buffer of a connection that receives ahead; returns whether there was memory for
+    /// it.
+    pub(crate) fn try_charge_read_ahead(&self, bytes: usize) -> bool {
+        let max = self.max_read_ahead.load(Ordering::Relaxed);
+        let add = |held: usize| held.checked_add(bytes).filter(|sum| *sum <= max);
+        self.read_ahead.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).is_ok()
+    }
+
+    /// Releases bytes that were charged.
+    pub(crate) fn release_read_ahead(&self, bytes: usize) {
+        self.read_ahead.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
     pub(crate) fn count_evicted(&self) {
         self.evicted.fetch_add(1, Ordering::Relaxed);
     }
@@ -98,4 +129,8 @@
     pub(crate) fn count_unhandled(&self) {
         self.unhandled.fetch_add(1, Ordering::Relaxed);
     }
+
+    pub(crate) fn count_unread(&self) {
+        self.unread.fetch_add(1, Ordering::Relaxed);
+    }
 }
--- a/ibiscroft-listener/src/connection.rs
+++ b/ibiscroft-listener/src/connection.rs
@@ -3,10 +3,9 @@
 use std::io;
 use std::net::Shutdown;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll, Waker, ready};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
-use bytes::{Buf, BytesMut};
 use socket2::SockRef;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
@@ -14,11 +13,11 @@
 
 use crate::activity::{Activity, Phase};
 use crate::bounds::ConnectionBounds;
+use crate::read_ahead::{READ_AHEAD_CHUNK_BYTES, ReadAhead};
 
-/// Maximum number of bytes that are received while a handler runs, to notice the close behind them.
-const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
-/// Number of bytes received at once while a handler runs.
-const READ_AHEAD_CHUNK_BYTES: usize = 4 << 10;
+/// Time after which a connection that could not receive ahead tries again: the memory may have been
+/// freed by another one.
+const READ_AHEAD_RETRY: Duration = Duration::from_millis(500);
 /// Maximum number of bytes that the server receives at once; it allocates a multiple of what it
 /// received before.
 const MAX_READ_BYTES: usize = 16 << 10;
@@ -44,6 +43,8 @@
 pub struct Connection {
     stream: TcpStream,
     ended: watch::Sender<bool>,
+    /// Notified when the body that a handler receives is given up for another connection.
+    body_given_up: Notify,
     read_ahead: Mutex<ReadAhead>,
     /// Notified when the server takes bytes out of a full `read_ahead`.
     drained: Notify,
@@ -55,21 +56,25 @@
 #[derive(Debug)]
 pub struct RequestGuard(Arc<Connection>);
 
+impl RequestGuard {
+    /// Records that the handler receives the body of the request, until [`Self::end_body`]. Meanwhile
+    /// [`Connection::body_given_up`] may ask it to refuse the request.
+    pub fn begin_body(&self) {
+        self.0.lock_activity().begin(Phase::Body);
+    }
+
+    /// Records that the handler has received the body of the request.
+    pub fn end_body(&self) {
+        self.0.lock_activity().begin(Phase::Handling);
+    }
+}
+
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.0.lock_activity().begin(Phase::Idle);
     }
 }
 
-/// Bytes received while a handler runs, such as further requests of a caller that does not wait for
-/// responses.
-#[derive(Debug, Default)]
-struct ReadAhead {
-    buf: BytesMut,
-    /// Task of the server that waits for bytes.
-    waker: Option<Waker>,
-}
-
 /// Result of receiving ahead.
 enum ReadAheadOutcome {
     Received,
@@ -83,7 +88,8 @@
         Self {
             stream,
             ended: watch::Sender::new(false),
-            read_ahead: Mutex::default(),
+            body_given_up: Notify::new(),
+            read_ahead: Mutex::new(ReadAhead::new(Arc::clone(&bounds))),
             drained: Notify::new(),
             activity: Mutex::new(Activity::new()),
             bounds,
@@ -99,12 +105,23 @@
         RequestGuard(Arc::clone(self))
     }
 
-    /// Returns since when no handler has processed a request and the caller has neither completed
-    /// a request head nor received bytes; `None` while a handler runs or after the end.
-    pub(crate) fn unused_since(&self) -> Option<Instant> {
+    /// Returns since when the connection has not been used, and whether this side has closed it
+    /// already and only waits for the caller; `None` if it is in use or has ended.
+    pub(crate) fn unused_since(&self) -> Option<(bool, Instant)> {
         let activity = self.lock_activity();
-        let is_unused = activity.phase != Phase::Handling && !self.has_ended();
-        is_unused.then_some(activity.since)
+        let is_lingering = activity.phase == Phase::Lingering;
+        let since = activity.unused_since().filter(|_| is_lingering || !self.has_ended())?;
+        Some((is_lingering, since))
+    }
+
+    /// Closes the connection if its caller has received no bytes of a response for `timeout`; returns
+    /// whether it did.
+    pub(crate) fn close_unread(&self, timeout: Duration) -> bool {
+        let is_unread = self.lock_activity().is_unread_for(timeout) && !self.has_ended();
+        if is_unread {
+            self.close();
+        }
+        is_unread
     }
 
     /// Closes the connection if a request head has not arrived completely within `timeout`.
@@ -116,9 +133,7 @@
         }
         self.refuse(&mut activity, HEAD_LATE);
         drop(activity);
-        if let Some(waker) = self.lock_read_ahead().waker.take() {
-            waker.wake();
-        }
+        self.lock_read_ahead().wake();
     }
 
     /// Sends a response in place of the server, as far as the kernel takes it, and ends what the
@@ -126,12 +141,34 @@
     fn refuse(&self, activity: &mut Activity, response: &[u8]) {
         activity.is_refused = true;
         self.bounds.count_refused_head();
-        if !activity.is_write_blocked {
+        if !activity.is_write_blocked() {
             // The connection is closed whether or not the caller receives this.
             let _ = self.stream.try_write(response);
         }
     }
 
+    /// Closes the connection for another one. A handler that receives a body is notified instead, so
+    /// that it refuses the request.
+    pub(crate) fn evict(&self) {
+        let mut activity = self.lock_activity();
+        if activity.phase == Phase::Body {
+            activity.is_body_given_up = true;
+            self.body_given_up.notify_one();
+        } else {
+            drop(activity);
+            self.close();
+        }
+    }
+
+    /// Waits until the body that a handler receives is given up, because its caller stalls and
+    /// another connection needs the place.
+    pub async fn body_given_up(&self) {
+        // A notice that came after the end of an earlier body is void.
+        while !self.lock_activity().is_body_given_up {
+            self.body_given_up.notified().await;
+        }
+    }
+
     /// Closes the connection in both directions.
     pub fn close(&self) {
         let _ = SockRef::from(&self.stream).shutdown(Shutdown::Both);
@@ -141,7 +178,8 @@
     /// Waits until the caller has closed its sending half of the connection, or the connection has
     /// been closed or has failed.
     ///
-    /// The close is noticed behind up to 64 KiB of further requests.
+    /// The close is noticed behind up to 64 KiB of further requests, or less while other
+    /// connections use the memory for them.
     pub async fn ended(&self) {
         let mut ended = self.ended.subscribe();
         tokio::select! {
@@ -165,7 +203,11 @@
             }
             match self.receive_ahead() {
                 ReadAheadOutcome::Received | ReadAheadOutcome::WouldBlock => {}
-                ReadAheadOutcome::Full => self.drained.notified().await,
+                ReadAheadOutcome::Full => {
+                    let drained = self.drained.notified();
+                    // After the timeout there may be memory for more.
+                    let _ = tokio::time::timeout(READ_AHEAD_RETRY, drained).await;
+                }
                 ReadAheadOutcome::Ended => break,
             }
         }
@@ -175,23 +217,22 @@
     /// Receives bytes that have arrived, without waiting.
     fn receive_ahead(&self) -> ReadAheadOutcome {
         let mut read_ahead = self.lock_read_ahead();
-        let room = MAX_READ_AHEAD_BYTES.saturating_sub(read_ahead.buf.len());
+        let room = read_ahead.make_room();
         if room == 0 {
             return ReadAheadOutcome::Full;
         }
         let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
-        match self.stream.try_read(&mut chunk[..room.min(READ_AHEAD_CHUNK_BYTES)]) {
+        let outcome = match self.stream.try_read(&mut chunk[..room]) {
             Ok(0) => ReadAheadOutcome::Ended,
             Ok(count) => {
-                read_ahead.buf.extend_from_slice(&chunk[..count]);
-                if let Some(waker) = read_ahead.waker.take() {
-                    waker.wake();
-                }
+                read_ahead.push(&chunk[..count]);
                 ReadAheadOutcome::Received
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => ReadAheadOutcome::WouldBlock,
             Err(_) => ReadAheadOutcome::Ended,
-        }
+        };
+        read_ahead.free_if_empty();
+        outcome
     }
 
     /// Receives bytes for the server; none mean the end of the connection.
@@ -239,13 +280,13 @@
         if activity.is_refused {
             return Poll::Ready(0);
         }
-        if activity.phase == Phase::Handling {
+        if matches!(activity.phase, Phase::Body | Phase::Handling) {
             return Poll::Ready(MAX_READ_BYTES);
         }
-        if activity.is_write_blocked {
+        if activity.is_write_blocked() {
             activity.paused_reader = Some(cx.waker().clone());
             // The end of the request head's time wakes this one.
-            self.lock_read_ahead().waker = Some(cx.waker().clone());
+            self.lock_read_ahead().wake_on_bytes(cx);
             return Poll::Pending;
         }
         let left = self.bounds.max_head_bytes().saturating_sub(activity.head_bytes);
@@ -277,13 +318,10 @@
     /// `cx` is woken when some are.
     fn take_read_ahead(&self, cx: &Context<'_>, buf: &mut ReadBuf<'_>, max_bytes: usize) -> bool {
         let mut read_ahead = self.lock_read_ahead();
-        let count = read_ahead.buf.len().min(buf.remaining()).min(max_bytes);
-        if count == 0 {
-            read_ahead.waker = Some(cx.waker().clone());
+        if read_ahead.take(buf, max_bytes) == 0 {
+            read_ahead.wake_on_bytes(cx);
             return false;
         }
-        buf.put_slice(&read_ahead.buf[..count]);
-        read_ahead.buf.advance(count);
         self.drained.notify_one();
         true
     }
@@ -337,6 +375,7 @@
     /// A connection that is closed with unread bytes is reset, and the caller may lose the last
     /// response.
     pub(crate) async fn linger(&self) {
+        self.lock_activity().begin(Phase::Lingering);
         self.shutdown_write();
         let discard = async {
             let mut chunk = [0; READ_AHEAD_CHUNK_BYTES];
