--- a/ibiscroft-gateway/tests/it/support.rs
+++ b/ibiscroft-gateway/tests/it/support.rs
@@ -262,6 +262,28 @@
         assert!(status.success(), "kill -{signal}");
     }
 
+    /// Returns the peak resident memory of the process, in kilobytes.
+    #[allow(dead_code, reason = "used by the crowd tests")]
+    pub(crate) fn peak_memory_kb(&self) -> u64 {
+        let file = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(file).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
+    /// Returns the number of open file descriptors of the process, 0 if it has exited.
+    #[allow(dead_code, reason = "used by the crowd tests")]
+    pub(crate) fn open_descriptors(&self) -> usize {
+        let folder = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(folder).map_or(0, Iterator::count)
+    }
+
+    /// Returns whether the process has ended.
+    #[allow(dead_code, reason = "used by the crowd tests")]
+    pub(crate) fn has_exited(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
     /// Waits until the process has ended and returns its exit code, or `None` if a signal ended it.
     pub(crate) async fn exit_code(&mut self) -> Option<i32> {
         let begun = Instant::now();
