fix(gateway): connections and request heads of callers are bounded

Seen by callers and the operator: 800 idle connections made the process open 687 descriptors, heads that stop short of their end stayed open for good, and 240 callers that send requests without reading the responses left an ordinary request without an answer for 20 s.

Cause: the listener's bounds existed, but the gateway set only the size of a head. A connection had no maximum, a head no time.

Ruled out: one registry for all traffic threads. Each request looks its connection up in it, and a place that is freed on another thread comes later than the accept waits for it. Each thread has an equal part instead.

Change: settings memory_mb and max_fds (optional: 1,000 MB, and the limit that the system sets for the process). CallerLimits derives the number of connections: a quarter of the memory at 192 KiB each, and the descriptors less those for targets, each connection counted with one to a target. A task on each thread sets it, closes heads that are older than 10 s (408) and reports closed connections (IB1007, callers_closed_total). While a connection was refused in the last 2 s, each response closes its connection, so that every caller gets a place for one request. A refused request gives the other connections of its thread a turn first.

The crowd's gateway now gets the two settings with the values that the check had from the start; crowds and bounds are unchanged. New test: a head that does not end is answered with 408.

--- a/ibiscroft-gateway/src/backend_client.rs
+++ b/ibiscroft-gateway/src/backend_client.rs
@@ -33,7 +33,7 @@
 ///
 /// With 18 gateways of two traffic threads each, and one liveness connection per gateway, the idle
 /// connections stay below the limit of a target that allows 200 connections.
-const MAX_IDLE: usize = 4;
+pub(crate) const MAX_IDLE: usize = 4;
 
 /// Clients for backend servers: one reuses connections, the other opens one for each request.
 #[derive(Clone, Debug)]
--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::LocalSet;
 
+use crate::caller_limits::CallerLimits;
 use crate::claims::{ClaimsController, ClaimsHandle, Retirer};
 use crate::clock::Clock;
 use crate::control::{Control, ControlCommand, ControlEvent, ControlInputs};
@@ -27,6 +28,7 @@
 use crate::permits::PermitSender;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::shortage::Shortage;
 use crate::snapshot::Snapshot;
 use crate::stop_signals::StopSignals;
 use crate::store_watch;
@@ -112,15 +114,19 @@
         let (permit_tx, permits) = mpsc::channel(PERMIT_QUEUE_CAPACITY);
         let (command_tx, commands) = mpsc::channel(COMMAND_QUEUE_CAPACITY);
         let (event_tx, events) = mpsc::unbounded_channel();
+        let clock = Clock::start();
+        let limits = CallerLimits::new(&settings);
         let shared = Arc::new(Shared {
             instance: settings.instance.clone(),
             run: RunId::new(format!("{:08x}", rand::random::<u32>())),
-            clock: Clock::start(),
+            clock,
             snapshot: ArcSwap::from_pointee(Snapshot::empty()),
             validity: Validity::default(),
             metrics: Metrics::new()?,
             observations: observation_tx,
             permits: PermitSender::new(permit_tx),
+            limits,
+            connection_shortage: Shortage::default(),
         });
         let closing = Arc::new(AtomicBool::new(false));
         let claim_limits = ClaimLimits::for_fleet(DEFAULT_GATEWAYS);
--- a/ibiscroft-gateway/src/events.rs
+++ b/ibiscroft-gateway/src/events.rs
@@ -49,6 +49,7 @@
     StopRepeated 1004 Info "A further stop signal was ignored; the graceful shutdown continues.",
     Stopped 1005 Info "The gateway has stopped; unless IB1006 precedes, no request was cut off.",
     StopLimitReached 1006 Warn "The gateway stops at its drain limit with requests still in flight.",
+    CallersClosed 1007 Warn "A traffic thread closed connections of callers to stay within the memory and descriptors of the process.",
     ConfigurationInForce 2001 Info "A new configuration is in force.",
     ConfigurationUnusable 2002 Error "A record of the configuration or zone state is invalid and is not applied.",
     ZonesInForce 2003 Info "A new zone state is in force.",
--- a/ibiscroft-gateway/src/lib.rs
+++ b/ibiscroft-gateway/src/lib.rs
@@ -5,6 +5,8 @@
 //! threads serve callers by the latest snapshot.
 
 mod backend_client;
+mod caller_bounds;
+mod caller_limits;
 mod clock;
 mod connect_guard;
 mod control;
@@ -23,6 +25,7 @@
 mod server;
 mod service_admission;
 mod shared;
+mod shortage;
 mod snapshot;
 mod stop_signals;
 mod store_watch;
--- a/ibiscroft-gateway/src/metrics.rs
+++ b/ibiscroft-gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     /// Time in seconds that the gateway added to at-most-once requests, which need a claim, with a
     /// response.
     pub(crate) at_most_once_added_seconds: Histogram,
+    /// Connections of callers closed to keep a bound, by reason.
+    pub(crate) callers_closed: IntCounterVec,
     /// Requests in flight.
     pub(crate) in_flight: IntGauge,
     /// Observations dropped because the queue of the control thread was full.
@@ -67,6 +69,12 @@
                 "order_added_seconds",
                 "Time the gateway added to answered requests with a claim, in seconds",
             )?,
+            callers_closed: counter_vec(
+                &registry,
+                "callers_closed_total",
+                "Connections of callers closed to keep a bound",
+                "reason",
+            )?,
             in_flight: gauge(&registry, "requests_in_flight", "Requests in flight")?,
             observations_dropped: counter(
                 &registry,
--- a/ibiscroft-gateway/src/server.rs
+++ b/ibiscroft-gateway/src/server.rs
@@ -61,10 +61,15 @@
         })
     }
 
-    fn respond(&self, reply: Reply, id: &RequestId, connection: Arc<Connection>) -> Response {
+    async fn respond(&self, reply: Reply, id: &RequestId, connection: Arc<Connection>) -> Response {
         match reply {
             Ok(response) => backend_response(response, connection),
-            Err(failure) => self.fail(&failure, id),
+            Err(failure) => {
+                // Without a turn for the others, the refusals of a caller that does not wait for
+                // its responses would hold the thread.
+                tokio::task::yield_now().await;
+                self.fail(&failure, id)
+            }
         }
     }
 
@@ -98,8 +103,10 @@
             reply = self.serve(req, &id, received) => reply,
             () = connection.ended() => return Ok(response_for_disconnected()),
         };
-        let mut res = self.respond(reply, &id, connection);
-        if self.closing.load(Ordering::Relaxed) {
+        let mut res = self.respond(reply, &id, connection).await;
+        // While callers find no connection, each one gets a connection for a single request.
+        let is_short = self.shared.connection_shortage.lasts(self.shared.clock.now());
+        if is_short || self.closing.load(Ordering::Relaxed) {
             res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(res)
--- a/ibiscroft-gateway/src/settings.rs
+++ b/ibiscroft-gateway/src/settings.rs
@@ -40,6 +40,10 @@
     pub drain_notice: Duration,
     /// Longest wait in a graceful shutdown for requests in flight; `None` waits without limit.
     pub drain_limit: Option<Duration>,
+    /// Memory that the process may use, in megabytes.
+    pub memory_mb: Option<u32>,
+    /// File descriptors that the process may open.
+    pub max_fds: Option<u32>,
 }
 
 impl Settings {
@@ -82,6 +86,8 @@
                 .map_or(DEFAULT_TRAFFIC_THREADS, |count| count as usize),
             drain_notice: raw.drain_notice_ms.map_or(DEFAULT_DRAIN_NOTICE, millis),
             drain_limit: raw.drain_limit_ms.filter(|ms| *ms > 0).map(millis),
+            memory_mb: raw.memory_mb,
+            max_fds: raw.max_fds,
         };
         if faults.is_empty() { Ok(settings) } else { Err(Faults(faults)) }
     }
--- a/ibiscroft-gateway/src/shared.rs
+++ b/ibiscroft-gateway/src/shared.rs
@@ -6,10 +6,12 @@
 use ibiscroft_core::ids::{InstanceName, RunId};
 use tokio::sync::mpsc;
 
+use crate::caller_limits::CallerLimits;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::observation::Observation;
 use crate::permits::PermitSender;
+use crate::shortage::Shortage;
 use crate::snapshot::Snapshot;
 use crate::validity::Validity;
 
@@ -33,6 +35,10 @@
     pub(crate) observations: mpsc::Sender<Observation>,
     /// Permit requests and reports for the control thread.
     pub(crate) permits: PermitSender,
+    /// What callers may occupy.
+    pub(crate) limits: CallerLimits,
+    /// Whether callers are refused for want of connections.
+    pub(crate) connection_shortage: Shortage,
 }
 
 impl Shared {
--- a/ibiscroft-gateway/src/traffic.rs
+++ b/ibiscroft-gateway/src/traffic.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::backend_client::BackendClient;
+use crate::caller_bounds;
 use crate::claims::ClaimsHandle;
 use crate::filters::account::Account;
 use crate::filters::admit::Admit;
@@ -150,6 +151,7 @@
     let connections = Arc::new(ConnectionRegistry::default());
     let listener = TcpListener::from_std(listener)?;
     connections.bounds().set_max_head_bytes(MAX_HEAD_BYTES);
+    tokio::spawn(caller_bounds::enforce(Arc::clone(&context.shared), Arc::clone(&connections)));
     let acceptor = ConnectionAcceptor::new(listener, Arc::clone(&connections))?;
     let chain = chain(&context)?;
     let callers = CallerEndpoint::new(context.shared, chain, connections, context.closing);
--- a/ibiscroft-gateway/tests/crowd/crowd.rs
+++ b/ibiscroft-gateway/tests/crowd/crowd.rs
@@ -43,6 +43,10 @@
     pub(crate) async fn start(backends: &[BackendOptions]) -> Self {
         let only = CROWD.lock().await;
         let mut options = FleetOptions::new(1, 2);
+        options.settings = |settings| {
+            settings["memory_mb"] = json!(MEMORY_MB);
+            settings["max_fds"] = json!(MAX_FDS);
+        };
         if !backends.is_empty() {
             options.backends = backends.to_vec();
             options.questionnaire = |questionnaire| {
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod cold_start;
 mod end_to_end;
 mod invalid_status;
+mod late_heads;
 mod leaving;
 mod operators;
 mod overload;
--- a/ibiscroft-gateway/tests/it/settings.rs
+++ b/ibiscroft-gateway/tests/it/settings.rs
@@ -51,6 +51,22 @@
         change: |value| set(value, "peer_listen", json!("127.0.0.1:99999")),
         faults: &["/peer_listen"],
     },
+    Case {
+        name: "memory and descriptors too small",
+        change: |value| {
+            set(value, "memory_mb", json!(63));
+            set(value, "max_fds", json!(255));
+        },
+        faults: &["/memory_mb", "/max_fds"],
+    },
+    Case {
+        name: "memory and descriptors",
+        change: |value| {
+            set(value, "memory_mb", json!(64));
+            set(value, "max_fds", json!(256));
+        },
+        faults: &[],
+    },
     Case { name: "no store", change: |value| set(value, "store", json!([])), faults: &["/store"] },
 ];
 
--- a/ibiscroft-gateway/tests/it/support.rs
+++ b/ibiscroft-gateway/tests/it/support.rs
@@ -31,6 +31,8 @@
     pub(crate) questionnaire: fn(&mut Value),
     /// Whether the start returns without waiting until all targets are proved warm.
     pub(crate) starts_cold: bool,
+    /// Settings of each gateway beside its addresses.
+    pub(crate) settings: fn(&mut Value),
 }
 
 impl FleetOptions {
@@ -42,6 +44,7 @@
             backends: vec![BackendOptions::default(); backends],
             questionnaire: |_| {},
             starts_cold: false,
+            settings: |_| {},
         }
     }
 }
@@ -71,7 +74,7 @@
         put_configuration(store.address(), &questionnaire, 1).await;
         let mut gateways = Vec::new();
         for index in 0..options.gateways {
-            gateways.push(Gateway::start(index, store.address()));
+            gateways.push(Gateway::start_with(index, store.address(), &[], options.settings));
         }
         let http = reqwest::Client::builder().no_proxy().build().unwrap();
         let fleet = Self { store, backends, gateways, http };
@@ -212,14 +215,26 @@
 
 impl Gateway {
     /// Starts the gateway `gw-INDEX`.
+    #[allow(dead_code, reason = "used by the tests with large fleets")]
     pub(crate) fn start(index: usize, store: SocketAddr) -> Self {
         Self::start_with_peers(index, store, &[])
     }
 
     /// Starts the gateway `gw-INDEX` with the peer addresses of some other gateways.
+    #[allow(dead_code, reason = "used by some test binaries")]
     pub(crate) fn start_with_peers(index: usize, store: SocketAddr, peers: &[SocketAddr]) -> Self {
+        Self::start_with(index, store, peers, |_| {})
+    }
+
+    /// Starts the gateway `gw-INDEX` with changed settings.
+    pub(crate) fn start_with(
+        index: usize,
+        store: SocketAddr,
+        peers: &[SocketAddr],
+        change: fn(&mut Value),
+    ) -> Self {
         let any_port = "127.0.0.1:0";
-        let settings = json!({
+        let mut settings = json!({
             "instance": format!("gw-{index}"),
             "availability_zone": ZONES[index % ZONES.len()],
             "caller_listen": any_port,
@@ -229,6 +244,7 @@
             "peers": peers,
             "drain_notice_ms": 100,
         });
+        change(&mut settings);
         let name = format!("ibiscroft-{}-{}-gw-{index}.json", std::process::id(), store.port());
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, settings.to_string()).unwrap();
--- a/ibiscroft-lab/src/demo/fleet.rs
+++ b/ibiscroft-lab/src/demo/fleet.rs
@@ -216,6 +216,8 @@
         traffic_threads: Some(2),
         drain_notice_ms: Some(DRAIN_NOTICE_MS),
         drain_limit_ms: None,
+        memory_mb: None,
+        max_fds: None,
     };
     let path = directory.join(format!("{name}.json"));
     std::fs::write(&path, codec::to_json(&settings)?)?;
