fix(gateway): the sum of request bodies in memory is bounded

Seen: 240 callers with a body of 1 MiB each made the process occupy 295 to 343 MB where 120 MB are allowed, in five kinds: whole, in pieces, short of their end at once or in pieces, in large chunks. With more callers the process runs out of memory.

Cause: a body is read completely before it is forwarded, for up to 10 s, and only its own length was limited. The buffer of a declared length costs nothing until bytes arrive, so few callers show nothing.

Change: a body reserves its bytes in a ByteAccount (core) of 3/8 of memory_mb before it is read; a chunked one 4 KiB, 64 KiB, then 1 MiB. The bytes stay reserved while any clone of the body is in use. What finds no room is refused at once: 503 overloaded, not_run, Retry-After 1, and the connection is closed without the rest of the body being read. While bodies or connections were refused in the last 3 s, a body of which nothing arrived for 2 s ends with 408 (slow-caller, not_run). The time for a body is 10 s as before, but not more than the deadline of its request.

Waiting for memory as in the edge daemon is not needed: bodies are small, and a refused caller may come back.

New test: of 60 bodies that are left open at once, those without room get 503 with the fields above, the others 408, and no target ran one.

--- a/ibiscroft-gateway/src/caller_limits.rs
+++ b/ibiscroft-gateway/src/caller_limits.rs
@@ -21,10 +21,12 @@
 
 /// What callers may occupy at most.
 ///
-/// A quarter of the memory is for connections; the rest is for bodies, the process itself and the
-/// allocator.
+/// Of the memory, three eighths are for request bodies and a quarter for connections; the rest is
+/// for responses, the process itself and the allocator.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CallerLimits {
+    /// Bytes of request bodies.
+    pub(crate) body_bytes: usize,
     /// Connections of callers that the memory allows.
     memory_connections: usize,
     max_fds: usize,
@@ -37,6 +39,7 @@
         let memory = settings.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) as usize * MEGABYTE;
         let max_fds = settings.max_fds.map(|count| count as usize);
         Self {
+            body_bytes: memory / 8 * 3,
             memory_connections: memory / 4 / CONNECTION_BYTES,
             max_fds: max_fds.or_else(system_max_fds).unwrap_or(DEFAULT_MAX_FDS),
             threads: settings.traffic_threads,
--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::LocalSet;
 
+use crate::body_budget::BodyBudget;
 use crate::caller_limits::CallerLimits;
 use crate::claims::{ClaimsController, ClaimsHandle, Retirer};
 use crate::clock::Clock;
@@ -126,6 +127,8 @@
             observations: observation_tx,
             permits: PermitSender::new(permit_tx),
             limits,
+            bodies: BodyBudget::new(clock, limits.body_bytes),
+            memory_shortage: Shortage::default(),
             connection_shortage: Shortage::default(),
         });
         let closing = Arc::new(AtomicBool::new(false));
--- a/ibiscroft-gateway/src/exchange.rs
+++ b/ibiscroft-gateway/src/exchange.rs
@@ -97,12 +97,14 @@
     pub(crate) detail: String,
     /// Delay after which the caller may retry.
     pub(crate) retry_after: Option<Duration>,
+    /// Whether the rest of the request's body is not read, so that the connection is closed.
+    pub(crate) is_body_unread: bool,
 }
 
 impl Failure {
     /// Creates a failure without a retry delay.
     pub(crate) fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
-        Self { kind, detail: detail.into(), retry_after: None }
+        Self { kind, detail: detail.into(), retry_after: None, is_body_unread: false }
     }
 
     /// Sets the delay after which the caller may retry.
@@ -111,6 +113,13 @@
         self.retry_after = Some(span);
         self
     }
+
+    /// Records that the rest of the request's body is not read.
+    #[must_use]
+    pub(crate) const fn body_unread(mut self) -> Self {
+        self.is_body_unread = true;
+        self
+    }
 }
 
 /// Result of the filter chain.
--- a/ibiscroft-gateway/src/filters/identify.rs
+++ b/ibiscroft-gateway/src/filters/identify.rs
@@ -1,11 +1,11 @@
 //! Reads a caller's request: its service, deadline, call depth, request ID, idempotency key and
 //! body.
 
+mod body;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_util::StreamExt;
 use http::header::{self, HeaderMap, HeaderName};
 use http::{Method, Uri};
 use ibiscroft_core::Tick;
@@ -14,19 +14,14 @@
 use poem::Request;
 
 use crate::exchange::{Exchange, Failure};
+use crate::filters::identify::body::read_body;
+use crate::shared::Shared;
 use crate::snapshot::{ServiceView, Snapshot};
 
-/// Largest request body, in bytes.
-pub(crate) const MAX_BODY_BYTES: usize = 1 << 20;
+pub(crate) use body::discard_body;
+
 /// Largest total size of the names and values of all header fields, in bytes.
 const MAX_HEADER_BYTES: usize = 32 << 10;
-/// Largest number of bytes of a rejected request's body that are read and discarded, so that the
-/// caller receives the response.
-const MAX_DISCARDED_BYTES: usize = 16 << 20;
-/// Timeout for reading and discarding the body of a rejected request.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
-/// Timeout for reading a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest number of calls in a chain of calls, the present one included.
 const MAX_CALL_DEPTH: u8 = 7;
 /// Longest idempotency key, in bytes.
@@ -53,25 +48,25 @@
 ///
 /// Returns the failure for the caller if the method is not forwarded, no configuration is in
 /// force, no route matches, the header fields or the body are malformed or too large, the body
-/// arrives too slowly, the idempotency key is missing, the deadline has passed, or the call depth
+/// arrives too slowly or finds no memory, the idempotency key is missing, the deadline has passed, or the call depth
 /// is exceeded.
 pub(crate) async fn identify(
     req: &mut Request,
     request_id: RequestId,
-    snapshot: &Snapshot,
+    shared: &Shared,
     received: Tick,
 ) -> Result<Exchange, Failure> {
     let method = forwarded_method(req.method())?;
     check_header_size(req.headers())?;
     let path = req.uri().path().to_string();
     let host = host(req.uri(), req.headers()).to_string();
-    let service = find_service(snapshot, &host, &path)?;
+    let service = find_service(&shared.view(), &host, &path)?;
     let depth = depth(req.headers())?;
     let key = idempotency_key(req.headers(), service.service.is_at_most_once(method.as_str()))?;
     let deadline = received + time_limit(req.headers(), &service)?;
     let path_and_query =
         req.uri().path_and_query().map_or(path, |value| value.as_str().to_string());
-    let body = read_body(req).await?;
+    let body = read_body(req, shared, deadline).await?;
     let mut headers = std::mem::take(req.headers_mut());
     remove_hop_by_hop(&mut headers);
     Ok(Exchange {
@@ -206,64 +201,3 @@
 fn bad_header(name: &str, allowed: &str) -> Failure {
     Failure::new(ErrorKind::BadRequest, format!("header {name} must be {allowed}"))
 }
-
-async fn read_body(req: &mut Request) -> Result<Bytes, Failure> {
-    let content_length = req.headers().get(header::CONTENT_LENGTH);
-    let content_length =
-        content_length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-    if content_length.is_some_and(|size| size > MAX_BODY_BYTES) {
-        return Err(body_too_large());
-    }
-    let stream = req.take_body().into_bytes_stream();
-    let read = collect_body(stream, content_length.unwrap_or(0));
-    match tokio::time::timeout(BODY_TIMEOUT, read).await {
-        Ok(body) => body,
-        Err(_) => {
-            let detail = format!("the body took over {} s", BODY_TIMEOUT.as_secs());
-            Err(Failure::new(ErrorKind::SlowCaller, detail))
-        }
-    }
-}
-
-/// Reads and discards the rest of a rejected request's body.
-///
-/// A caller that is disconnected while it is still sending does not receive the response.
-pub(crate) async fn discard_body(req: &mut Request) {
-    if req.headers().contains_key(header::EXPECT) {
-        return;
-    }
-    let body = req.take_body().into_bytes_stream();
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard(body)).await;
-}
-
-async fn discard(mut body: impl futures_util::Stream<Item = std::io::Result<Bytes>> + Unpin) {
-    let mut discarded = 0;
-    while let Some(Ok(chunk)) = body.next().await {
-        discarded += chunk.len();
-        if discarded > MAX_DISCARDED_BYTES {
-            return;
-        }
-    }
-}
-
-async fn collect_body(
-    mut stream: impl futures_util::Stream<Item = std::io::Result<Bytes>> + Unpin,
-    capacity: usize,
-) -> Result<Bytes, Failure> {
-    let mut buf = Vec::with_capacity(capacity);
-    while let Some(chunk) = stream.next().await {
-        let chunk =
-            chunk.map_err(|error| Failure::new(ErrorKind::BadRequest, format!("body: {error}")))?;
-        if buf.len() + chunk.len() > MAX_BODY_BYTES {
-            discard(stream).await;
-            return Err(body_too_large());
-        }
-        buf.extend_from_slice(&chunk);
-    }
-    Ok(buf.into())
-}
-
-fn body_too_large() -> Failure {
-    let detail = format!("at most {MAX_BODY_BYTES} bytes are accepted");
-    Failure::new(ErrorKind::BodyTooLarge, detail)
-}
--- a/ibiscroft-gateway/src/lib.rs
+++ b/ibiscroft-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! threads serve callers by the latest snapshot.
 
 mod backend_client;
+mod body_budget;
 mod caller_bounds;
 mod caller_limits;
 mod clock;
--- a/ibiscroft-gateway/src/metrics.rs
+++ b/ibiscroft-gateway/src/metrics.rs
@@ -120,6 +120,11 @@
         histogram.observe(added.as_secs_f64());
     }
 
+    /// Counts a caller whose body or response made no progress while others were refused.
+    pub(crate) fn count_stalled(&self) {
+        self.callers_closed.with_label_values(&["stalled"]).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn render(&self) -> String {
         let mut buf = Vec::new();
--- a/ibiscroft-gateway/src/problem.rs
+++ b/ibiscroft-gateway/src/problem.rs
@@ -37,6 +37,9 @@
     let mut res = Response::default();
     res.set_status(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
     set_headers(res.headers_mut(), &problem);
+    if failure.is_body_unread {
+        res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     res.set_body(Body::from_string(codec::to_json(&problem).unwrap_or_default()));
     res
 }
--- a/ibiscroft-gateway/src/server.rs
+++ b/ibiscroft-gateway/src/server.rs
@@ -40,12 +40,13 @@
 
     /// Reads the request and passes it through the filter chain.
     async fn serve(&self, mut req: Request, id: &RequestId, received: Tick) -> Reply {
-        let view = self.shared.view();
-        match identify(&mut req, id.clone(), &view, received).await {
+        match identify(&mut req, id.clone(), &self.shared, received).await {
             Ok(ex) if ex.is_at_most_once() => self.serve_at_most_once(ex).await,
             Ok(mut ex) => self.chain.handle(&mut ex).await,
             Err(failure) => {
-                discard_body(&mut req).await;
+                if !failure.is_body_unread {
+                    discard_body(&mut req).await;
+                }
                 Err(failure)
             }
         }
--- a/ibiscroft-gateway/src/shared.rs
+++ b/ibiscroft-gateway/src/shared.rs
@@ -6,6 +6,7 @@
 use ibiscroft_core::ids::{InstanceName, RunId};
 use tokio::sync::mpsc;
 
+use crate::body_budget::BodyBudget;
 use crate::caller_limits::CallerLimits;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -37,6 +38,10 @@
     pub(crate) permits: PermitSender,
     /// What callers may occupy.
     pub(crate) limits: CallerLimits,
+    /// Account of the request bodies in memory.
+    pub(crate) bodies: Arc<BodyBudget>,
+    /// Whether bodies are refused for want of memory.
+    pub(crate) memory_shortage: Shortage,
     /// Whether callers are refused for want of connections.
     pub(crate) connection_shortage: Shortage,
 }
@@ -50,6 +55,12 @@
         }
     }
 
+    /// Returns whether callers were recently refused for want of what an incomplete body occupies.
+    pub(crate) fn is_short_for_bodies(&self) -> bool {
+        let now = self.clock.now();
+        self.memory_shortage.lasts(now) || self.connection_shortage.lasts(now)
+    }
+
     /// Returns the snapshot that the control thread published last.
     pub(crate) fn view(&self) -> Arc<Snapshot> {
         self.snapshot.load_full()
--- a/ibiscroft-gateway/src/shortage.rs
+++ b/ibiscroft-gateway/src/shortage.rs
@@ -5,8 +5,13 @@
 
 use ibiscroft_core::Tick;
 
-/// Time for which a shortage lasts after a refusal; callers that were refused come again after it.
-const SHORTAGE_TIME: Duration = Duration::from_secs(2);
+/// Time without progress after which a caller is ended during a shortage.
+pub(crate) const STALL_TIME: Duration = Duration::from_secs(2);
+/// Interval at which a caller without progress is compared with the shortage.
+pub(crate) const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which a shortage lasts after a refusal; longer than [`STALL_TIME`], so that a caller is
+/// ended that has been silent since the refusal.
+const SHORTAGE_TIME: Duration = Duration::from_secs(3);
 
 /// Shortage of something that callers occupy, as of the last refusal.
 #[derive(Debug, Default)]
--- a/ibiscroft-gateway/tests/crowd/crowd.rs
+++ b/ibiscroft-gateway/tests/crowd/crowd.rs
@@ -60,6 +60,11 @@
         Self { fleet: Fleet::start(options).await, _only: only }
     }
 
+    /// Returns the number of requests that targets ran since the start of the crowd.
+    pub(crate) fn ran_count(&self) -> u64 {
+        self.fleet.backends.iter().map(|backend| backend.counters().ran).sum()
+    }
+
     /// Returns the address for callers.
     pub(crate) fn callers(&self) -> SocketAddr {
         self.fleet.gateways[0].callers
--- a/ibiscroft-gateway/tests/crowd/main.rs
+++ b/ibiscroft-gateway/tests/crowd/main.rs
@@ -10,6 +10,7 @@
 #[path = "../it/support.rs"]
 mod support;
 
+use futures_util::future::join_all;
 use ibiscroft_lab::backend::BackendOptions;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -23,6 +24,9 @@
 
 /// Receive buffer of callers that read no responses, in bytes, so that the kernel holds little.
 const SMALL_RECEIVE_BUFFER_BYTES: u32 = 4 << 10;
+/// Number of bodies for which the memory of the machine is not enough; their connections fit on one
+/// traffic thread.
+const FULL_BODIES: usize = 60;
 /// Extension of a chunk.
 const CHUNK_EXTENSION: &str = ";name=value;other=\"some text\"";
 
@@ -161,6 +165,33 @@
     Crowd::start(&[]).await.check("idle connections", 2 * MAX_FDS, None, act).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn gateway_answers_bodies_without_room_as_not_run() {
+    let crowd = Crowd::start(&[]).await;
+    let send = async |number| {
+        let mut stream = TcpStream::connect(crowd.callers()).await.unwrap();
+        let head = head("PUT", "/x", number);
+        let request = format!("{head}Content-Length: {MAX_BODY_BYTES}\r\n\r\nstart");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut response = String::new();
+        stream.read_to_string(&mut response).await.unwrap();
+        response.to_ascii_lowercase()
+    };
+    let mut refused = 0;
+    for response in join_all((0..FULL_BODIES).map(send)).await {
+        let status = response.split(' ').nth(1).unwrap_or_default();
+        assert!(status == "503" || status == "408", "{response}");
+        assert!(response.contains("x-execution: not_run\r\n"), "{response}");
+        assert!(response.contains("connection: close\r\n"), "{response}");
+        if status == "503" {
+            refused += 1;
+            assert!(response.contains("retry-after: 1\r\n"), "{response}");
+        }
+    }
+    assert!(refused > 0, "all of {FULL_BODIES} bodies of {MAX_BODY_BYTES} bytes found room");
+    assert_eq!(crowd.ran_count(), 0);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn gateway_single_body_of_the_full_legal_size_is_served() {
     let crowd = Crowd::start(&[]).await;
