fix(gateway): responses that callers do not read are bounded and ended

Seen: 240 callers that ask for responses of 4 MB and read nothing left an ordinary request without an answer for 20 s; with targets of 200 slots the process occupied 278,888 kB where 120 MB are allowed.

Cause: the body of a target was handed to the HTTP server as it came. The server buffers over 400 kB for each connection, the HTTP client as much again. An unread response keeps its slot of the service without end, and its connection counted as an unused one.

Change: a response runs at most 16 KiB ahead of what the kernel has taken (SendWindow, as in the edge daemon), and its connection counts as in use until its end. Responses over 16 KiB or of unknown length need a place: an eighth of memory_mb at 1.2 MB each, waited for up to 10 s. A response of which the caller takes no further 16 KiB for 2 s is closed if in the last 3 s a request was refused for want of a slot or a connection, or waited for a place; without others that wait it may take its time.

Ruled out: smaller buffers of the HTTP client, which reqwest does not offer; refusing the request, as its response is there already.

--- a/ibiscroft-gateway/src/caller_limits.rs
+++ b/ibiscroft-gateway/src/caller_limits.rs
@@ -14,6 +14,10 @@
 /// Memory that one connection can occupy beside bodies, in bytes: a request head or bytes received
 /// ahead in the buffers of the listener and the HTTP server, the write buffer, and tasks.
 const CONNECTION_BYTES: usize = 192 << 10;
+/// Memory that one large response can occupy, in bytes: three read buffers of the HTTP client.
+const LARGE_RESPONSE_BYTES: usize = 3 * (400 << 10);
+/// Smallest number of large responses that are passed on at once.
+const MIN_LARGE_RESPONSES: usize = 4;
 /// Descriptors kept for runtimes, listeners, files, the store and other gateways.
 const RESERVED_FDS: usize = 100;
 /// Smallest number of connections of callers on one traffic thread.
@@ -21,12 +25,14 @@
 
 /// What callers may occupy at most.
 ///
-/// Of the memory, three eighths are for request bodies and a quarter for connections; the rest is
-/// for responses, the process itself and the allocator.
+/// Of the memory, three eighths are for request bodies, a quarter for connections and an eighth for
+/// large responses; the rest is for the process itself and the allocator.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CallerLimits {
     /// Bytes of request bodies.
     pub(crate) body_bytes: usize,
+    /// Large responses that are passed on at once.
+    pub(crate) large_responses: usize,
     /// Connections of callers that the memory allows.
     memory_connections: usize,
     max_fds: usize,
@@ -40,6 +46,7 @@
         let max_fds = settings.max_fds.map(|count| count as usize);
         Self {
             body_bytes: memory / 8 * 3,
+            large_responses: (memory / 8 / LARGE_RESPONSE_BYTES).max(MIN_LARGE_RESPONSES),
             memory_connections: memory / 4 / CONNECTION_BYTES,
             max_fds: max_fds.or_else(system_max_fds).unwrap_or(DEFAULT_MAX_FDS),
             threads: settings.traffic_threads,
--- a/ibiscroft-gateway/src/daemon.rs
+++ b/ibiscroft-gateway/src/daemon.rs
@@ -13,7 +13,7 @@
 use poem::Server;
 use poem::listener::TcpAcceptor;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::task::LocalSet;
 
 use crate::body_budget::BodyBudget;
@@ -128,8 +128,10 @@
             permits: PermitSender::new(permit_tx),
             limits,
             bodies: BodyBudget::new(clock, limits.body_bytes),
+            large_responses: Arc::new(Semaphore::new(limits.large_responses)),
             memory_shortage: Shortage::default(),
             connection_shortage: Shortage::default(),
+            slot_shortage: Shortage::default(),
         });
         let closing = Arc::new(AtomicBool::new(false));
         let claim_limits = ClaimLimits::for_fleet(DEFAULT_GATEWAYS);
--- a/ibiscroft-gateway/src/filters/admit.rs
+++ b/ibiscroft-gateway/src/filters/admit.rs
@@ -40,7 +40,7 @@
     ) -> Result<AdmissionSlot, Failure> {
         let rx = match result {
             SlotResult::Acquired(slot) => return Ok(slot),
-            SlotResult::Refused { retry_after } => return Err(overloaded(retry_after)),
+            SlotResult::Refused { retry_after } => return Err(self.refuse(retry_after)),
             SlotResult::Queued(rx) => rx,
         };
         let left = ex.deadline.since(self.shared.clock.now());
@@ -53,7 +53,13 @@
         }
         // Removes the requests that waited too long from the queue.
         ex.service.admission.admit_waiting();
-        Err(overloaded(RETRY_AFTER_QUEUE_TIMEOUT))
+        Err(self.refuse(RETRY_AFTER_QUEUE_TIMEOUT))
+    }
+
+    /// Returns the failure of a request that gets no slot, and records the shortage of slots.
+    fn refuse(&self, retry_after: Duration) -> Failure {
+        self.shared.slot_shortage.note(self.shared.clock.now());
+        Failure::new(ErrorKind::Overloaded, "too many requests wait").retry_after(retry_after)
     }
 }
 
@@ -118,7 +124,3 @@
 fn request_class(left: Duration) -> RequestClass {
     if left >= BATCH_MIN_TIME_LEFT { RequestClass::Batch } else { RequestClass::Interactive }
 }
-
-fn overloaded(retry_after: Duration) -> Failure {
-    Failure::new(ErrorKind::Overloaded, "too many requests wait").retry_after(retry_after)
-}
--- a/ibiscroft-gateway/src/lib.rs
+++ b/ibiscroft-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod peer_link;
 mod permits;
 mod problem;
+mod response_flow;
 mod server;
 mod service_admission;
 mod shared;
--- a/ibiscroft-gateway/src/problem.rs
+++ b/ibiscroft-gateway/src/problem.rs
@@ -4,23 +4,35 @@
 
 use http::{HeaderValue, StatusCode, header};
 use ibiscroft_core::ids::RequestId;
-use ibiscroft_listener::{Connection, close_on_error};
+use ibiscroft_listener::{Connection, RequestGuard, close_on_error};
 use ibiscroft_wire::generated::problem::Problem;
 use ibiscroft_wire::{codec, headers};
 use poem::{Body, Response};
 
 use crate::exchange::{BackendResponse, Failure, ResponseBody};
+use crate::response_flow::follow_reader;
+use crate::shared::Shared;
 
 /// Media type of problem responses.
 const PROBLEM_JSON: HeaderValue = HeaderValue::from_static("application/problem+json");
 
 /// Returns the response to the caller for a response of a backend server.
 ///
-/// If the body fails, the connection to the caller is closed.
-pub(crate) fn backend_response(response: BackendResponse, connection: Arc<Connection>) -> Response {
+/// If the body fails, the connection to the caller is closed. The request ends with the body.
+pub(crate) fn backend_response(
+    response: BackendResponse,
+    connection: Arc<Connection>,
+    request: RequestGuard,
+    shared: Arc<Shared>,
+) -> Response {
+    let length = response.headers.get(header::CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
     let body = match response.body {
         ResponseBody::Whole(bytes) => Body::from_bytes(bytes),
-        ResponseBody::Stream(stream) => Body::from_bytes_stream(close_on_error(stream, connection)),
+        ResponseBody::Stream(stream) => {
+            let stream = follow_reader(stream, length, Arc::clone(&connection), request, shared);
+            Body::from_bytes_stream(close_on_error(Box::pin(stream), connection))
+        }
     };
     let mut res = Response::default();
     res.set_status(response.status);
--- a/ibiscroft-gateway/src/server.rs
+++ b/ibiscroft-gateway/src/server.rs
@@ -6,7 +6,7 @@
 use http::{HeaderValue, StatusCode, header};
 use ibiscroft_core::Tick;
 use ibiscroft_core::ids::RequestId;
-use ibiscroft_listener::{Connection, ConnectionRegistry};
+use ibiscroft_listener::{Connection, ConnectionRegistry, RequestGuard};
 use ibiscroft_wire::ErrorKind;
 use poem::{Endpoint, Request, Response};
 
@@ -62,9 +62,17 @@
         })
     }
 
-    async fn respond(&self, reply: Reply, id: &RequestId, connection: Arc<Connection>) -> Response {
+    async fn respond(
+        &self,
+        reply: Reply,
+        id: &RequestId,
+        connection: Arc<Connection>,
+        request: RequestGuard,
+    ) -> Response {
         match reply {
-            Ok(response) => backend_response(response, connection),
+            Ok(response) => {
+                backend_response(response, connection, request, Arc::clone(&self.shared))
+            }
             Err(failure) => {
                 // Without a turn for the others, the refusals of a caller that does not wait for
                 // its responses would hold the thread.
@@ -99,12 +107,12 @@
         let Some(connection) = self.connections.for_request(&req) else {
             return Ok(response_for_disconnected());
         };
-        let _request = connection.begin_request();
+        let request = connection.begin_request();
         let reply = tokio::select! {
             reply = self.serve(req, &id, received) => reply,
             () = connection.ended() => return Ok(response_for_disconnected()),
         };
-        let mut res = self.respond(reply, &id, connection).await;
+        let mut res = self.respond(reply, &id, connection, request).await;
         // While callers find no connection, each one gets a connection for a single request.
         let is_short = self.shared.connection_shortage.lasts(self.shared.clock.now());
         if is_short || self.closing.load(Ordering::Relaxed) {
--- a/ibiscroft-gateway/src/shared.rs
+++ b/ibiscroft-gateway/src/shared.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwap;
 use ibiscroft_core::ids::{InstanceName, RunId};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 
 use crate::body_budget::BodyBudget;
 use crate::caller_limits::CallerLimits;
@@ -40,10 +40,14 @@
     pub(crate) limits: CallerLimits,
     /// Account of the request bodies in memory.
     pub(crate) bodies: Arc<BodyBudget>,
+    /// Places of large responses.
+    pub(crate) large_responses: Arc<Semaphore>,
     /// Whether bodies are refused for want of memory.
     pub(crate) memory_shortage: Shortage,
     /// Whether callers are refused for want of connections.
     pub(crate) connection_shortage: Shortage,
+    /// Whether callers are refused or wait for want of slots or places of responses.
+    pub(crate) slot_shortage: Shortage,
 }
 
 impl Shared {
@@ -61,6 +65,12 @@
         self.memory_shortage.lasts(now) || self.connection_shortage.lasts(now)
     }
 
+    /// Returns whether callers were recently refused for want of what an unread response occupies.
+    pub(crate) fn is_short_for_responses(&self) -> bool {
+        let now = self.clock.now();
+        self.slot_shortage.lasts(now) || self.connection_shortage.lasts(now)
+    }
+
     /// Returns the snapshot that the control thread published last.
     pub(crate) fn view(&self) -> Arc<Snapshot> {
         self.snapshot.load_full()
