--- a/ibiscroft-gateway/src/lib.rs
+++ b/ibiscroft-gateway/src/lib.rs
@@ -5,6 +5,9 @@
 //! threads serve callers by the latest snapshot.
 
 mod backend_client;
+mod body_budget;
+mod caller_bounds;
+mod caller_limits;
 mod clock;
 mod connect_guard;
 mod control;
@@ -20,9 +23,11 @@
 mod peer_link;
 mod permits;
 mod problem;
+mod response_flow;
 mod server;
 mod service_admission;
 mod shared;
+mod shortage;
 mod snapshot;
 mod stop_signals;
 mod store_watch;
--- a/ibiscroft-gateway/src/server.rs
+++ b/ibiscroft-gateway/src/server.rs
@@ -6,7 +6,7 @@
 use http::{HeaderValue, StatusCode, header};
 use ibiscroft_core::Tick;
 use ibiscroft_core::ids::RequestId;
-use ibiscroft_listener::{Connection, ConnectionRegistry};
+use ibiscroft_listener::{Connection, ConnectionRegistry, RequestGuard};
 use ibiscroft_wire::ErrorKind;
 use poem::{Endpoint, Request, Response};
 
@@ -40,12 +40,13 @@
 
     /// Reads the request and passes it through the filter chain.
     async fn serve(&self, mut req: Request, id: &RequestId, received: Tick) -> Reply {
-        let view = self.shared.view();
-        match identify(&mut req, id.clone(), &view, received).await {
+        match identify(&mut req, id.clone(), &self.shared, received).await {
             Ok(ex) if ex.is_at_most_once() => self.serve_at_most_once(ex).await,
             Ok(mut ex) => self.chain.handle(&mut ex).await,
             Err(failure) => {
-                discard_body(&mut req).await;
+                if !failure.is_body_unread {
+                    discard_body(&mut req).await;
+                }
                 Err(failure)
             }
         }
@@ -61,10 +62,23 @@
         })
     }
 
-    fn respond(&self, reply: Reply, id: &RequestId, connection: Arc<Connection>) -> Response {
+    async fn respond(
+        &self,
+        reply: Reply,
+        id: &RequestId,
+        connection: Arc<Connection>,
+        request: RequestGuard,
+    ) -> Response {
         match reply {
-            Ok(response) => backend_response(response, connection),
-            Err(failure) => self.fail(&failure, id),
+            Ok(response) => {
+                backend_response(response, connection, request, Arc::clone(&self.shared))
+            }
+            Err(failure) => {
+                // Without a turn for the others, the refusals of a caller that does not wait for
+                // its responses would hold the thread.
+                tokio::task::yield_now().await;
+                self.fail(&failure, id)
+            }
         }
     }
 
@@ -93,13 +107,15 @@
         let Some(connection) = self.connections.for_request(&req) else {
             return Ok(response_for_disconnected());
         };
-        let _request = connection.begin_request();
+        let request = connection.begin_request();
         let reply = tokio::select! {
             reply = self.serve(req, &id, received) => reply,
             () = connection.ended() => return Ok(response_for_disconnected()),
         };
-        let mut res = self.respond(reply, &id, connection);
-        if self.closing.load(Ordering::Relaxed) {
+        let mut res = self.respond(reply, &id, connection, request).await;
+        // While callers find no connection, each one gets a connection for a single request.
+        let is_short = self.shared.connection_shortage.lasts(self.shared.clock.now());
+        if is_short || self.closing.load(Ordering::Relaxed) {
             res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(res)
--- a/ibiscroft-gateway/src/shared.rs
+++ b/ibiscroft-gateway/src/shared.rs
@@ -4,12 +4,15 @@
 
 use arc_swap::ArcSwap;
 use ibiscroft_core::ids::{InstanceName, RunId};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 
+use crate::body_budget::BodyBudget;
+use crate::caller_limits::CallerLimits;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::observation::Observation;
 use crate::permits::PermitSender;
+use crate::shortage::Shortage;
 use crate::snapshot::Snapshot;
 use crate::validity::Validity;
 
@@ -33,6 +36,18 @@
     pub(crate) observations: mpsc::Sender<Observation>,
     /// Permit requests and reports for the control thread.
     pub(crate) permits: PermitSender,
+    /// What callers may occupy.
+    pub(crate) limits: CallerLimits,
+    /// Account of the request bodies in memory.
+    pub(crate) bodies: Arc<BodyBudget>,
+    /// Places of large responses.
+    pub(crate) large_responses: Arc<Semaphore>,
+    /// Whether bodies are refused for want of memory.
+    pub(crate) memory_shortage: Shortage,
+    /// Whether callers are refused for want of connections.
+    pub(crate) connection_shortage: Shortage,
+    /// Whether callers are refused or wait for want of slots or places of responses.
+    pub(crate) slot_shortage: Shortage,
 }
 
 impl Shared {
@@ -44,6 +59,18 @@
         }
     }
 
+    /// Returns whether callers were recently refused for want of what an incomplete body occupies.
+    pub(crate) fn is_short_for_bodies(&self) -> bool {
+        let now = self.clock.now();
+        self.memory_shortage.lasts(now) || self.connection_shortage.lasts(now)
+    }
+
+    /// Returns whether callers were recently refused for want of what an unread response occupies.
+    pub(crate) fn is_short_for_responses(&self) -> bool {
+        let now = self.clock.now();
+        self.slot_shortage.lasts(now) || self.connection_shortage.lasts(now)
+    }
+
     /// Returns the snapshot that the control thread published last.
     pub(crate) fn view(&self) -> Arc<Snapshot> {
         self.snapshot.load_full()
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod endless;
 mod faulty_target;
 mod invalid_status;
+mod late_heads;
 mod leaving;
 mod operators;
 mod overload;
