--- a/ibiscroft-edge/src/daemon.rs
+++ b/ibiscroft-edge/src/daemon.rs
@@ -121,7 +121,7 @@
     let offsets = StopSchedule::new(Tick::ZERO, settings.stop_grace());
     let drain_timeout = offsets.closes_at().since(offsets.listens_until());
     let stop = wait_for_stop(Arc::clone(&shared), settings_file, Signals::new()?);
-    Server::new(acceptor).run_until(endpoint, stop, drain_timeout).await;
+    Server::new(acceptor).run_until(endpoint, stop, Some(drain_timeout)).await;
     wait_for_callers_to_close(&connections, offsets.caller_close_timeout()).await;
     event!(Stopped, "in_flight={}", shared.metrics.in_flight.get());
     Ok(())
--- a/ibiscroft-gateway/src/controllers/registers.rs
+++ b/ibiscroft-gateway/src/controllers/registers.rs
@@ -279,7 +279,9 @@
 
     /// Publishes to the traffic threads until when they may rely on the registers.
     fn publish_validity(&self) {
-        self.shared.validity.set(self.core.deadline(), self.core.is_ready());
+        let is_confirmed =
+            self.core.freshness(self.shared.clock.now()) == FreshnessStatus::Confirmed;
+        self.shared.validity.set(self.core.deadline(), self.core.is_ready(), is_confirmed);
     }
 }
 
--- a/ibiscroft-gateway/src/filters/identify.rs
+++ b/ibiscroft-gateway/src/filters/identify.rs
@@ -16,12 +16,14 @@
 use crate::exchange::{Exchange, Failure};
 use crate::filters::identify::body::read_body;
 use crate::shared::Shared;
-use crate::snapshot::{ServiceView, Snapshot};
+use crate::snapshot::ServiceView;
 
 pub(crate) use body::discard_body;
 
 /// Largest total size of the names and values of all header fields, in bytes.
 const MAX_HEADER_BYTES: usize = 32 << 10;
+/// Retry delay for callers while no configuration is in force, or none that is confirmed.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Largest number of calls in a chain of calls, the present one included.
 const MAX_CALL_DEPTH: u8 = 7;
 /// Longest idempotency key, in bytes.
@@ -60,7 +62,7 @@
     check_header_size(req.headers())?;
     let path = req.uri().path().to_string();
     let host = host(req.uri(), req.headers()).to_string();
-    let service = find_service(&shared.view(), &host, &path)?;
+    let service = find_service(shared, &host, &path)?;
     let depth = depth(req.headers())?;
     let key = idempotency_key(req.headers(), service.service.is_at_most_once(method.as_str()))?;
     let deadline = received + time_limit(req.headers(), &service)?;
@@ -136,13 +138,20 @@
     host.rsplit_once(':').map_or(host, |(name, _)| name)
 }
 
-fn find_service(snapshot: &Snapshot, host: &str, path: &str) -> Result<Arc<ServiceView>, Failure> {
+fn find_service(shared: &Shared, host: &str, path: &str) -> Result<Arc<ServiceView>, Failure> {
+    let snapshot = shared.view();
     if snapshot.generation.get() == 0 {
         let detail = "no configuration is in force yet";
-        return Err(Failure::new(ErrorKind::NotReady, detail).retry_after(Duration::from_secs(1)));
+        return Err(Failure::new(ErrorKind::NotReady, detail).retry_after(NOT_READY_RETRY_AFTER));
     }
     let Some(service) = snapshot.route(host, path) else {
-        return Err(Failure::new(ErrorKind::NoRoute, format!("host {host:?}, path {path:?}")));
+        let detail = format!("host {host:?}, path {path:?}");
+        if shared.validity.is_confirmed(shared.clock.now()) {
+            return Err(Failure::new(ErrorKind::NoRoute, detail));
+        }
+        // A newer configuration may have the route.
+        let detail = format!("{detail}: not known, and nothing confirms the configuration");
+        return Err(Failure::new(ErrorKind::NotReady, detail).retry_after(NOT_READY_RETRY_AFTER));
     };
     Ok(Arc::clone(service))
 }
--- a/ibiscroft-gateway/src/server.rs
+++ b/ibiscroft-gateway/src/server.rs
@@ -110,7 +110,11 @@
         let request = connection.begin_request();
         let reply = tokio::select! {
             reply = self.serve(req, &id, received) => reply,
-            () = connection.ended() => return Ok(response_for_disconnected()),
+            () = connection.ended() => {
+                // A caller that has closed only its sending half would receive the placeholder.
+                connection.close();
+                return Ok(response_for_disconnected());
+            }
         };
         let mut res = self.respond(reply, &id, connection, request).await;
         // While callers find no connection, each one gets a connection for a single request.
@@ -122,8 +126,7 @@
     }
 }
 
-/// Returns a placeholder for a caller that has disconnected, as the HTTP server requires some
-/// response; it is never received.
+/// Returns a placeholder response for a connection that has been closed.
 fn response_for_disconnected() -> Response {
     StatusCode::BAD_REQUEST.into()
 }
--- a/ibiscroft-gateway/src/traffic.rs
+++ b/ibiscroft-gateway/src/traffic.rs
@@ -9,8 +9,7 @@
 
 use eyre::{WrapErr, eyre};
 use ibiscroft_core::claims::ClaimLimits;
-use ibiscroft_listener::{ConnectionAcceptor, ConnectionRegistry};
-use poem::Server;
+use ibiscroft_listener::{ConnectionAcceptor, ConnectionRegistry, Server};
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
 
@@ -158,11 +157,11 @@
     let stop = async move {
         let _ = phase.wait_for(|phase| *phase >= Phase::Draining).await;
     };
-    Server::new_with_acceptor(acceptor)
+    Server::new(acceptor)
         .idle_timeout(CALLER_IDLE_TIMEOUT)
-        .run_with_graceful_shutdown(callers, stop, context.drain_limit)
-        .await
-        .wrap_err("HTTP server for callers failed")
+        .run_until(callers, stop, context.drain_limit)
+        .await;
+    Ok(())
 }
 
 /// Creates the filter chain of one thread: account, admit, claim, forward.
--- a/ibiscroft-gateway/tests/it/main.rs
+++ b/ibiscroft-gateway/tests/it/main.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod operators;
 mod overload;
+mod proper_requests;
 mod retirement;
 mod settings;
 mod support;
--- a/ibiscroft-listener/src/activity.rs
+++ b/ibiscroft-listener/src/activity.rs
@@ -134,6 +134,11 @@
             && self.write_blocked_since.is_some_and(|since| since.elapsed() >= timeout)
     }
 
+    /// Returns since when no request is in flight; `None` while one is.
+    pub(crate) fn idle_since(&self) -> Option<Instant> {
+        matches!(self.phase, Phase::Idle | Phase::Head).then_some(self.since)
+    }
+
     /// Returns since when the connection has not been used: no handler works on a request, and the
     /// caller has neither completed a request nor received bytes.
     ///
--- a/ibiscroft-listener/src/connection.rs
+++ b/ibiscroft-listener/src/connection.rs
@@ -105,6 +105,18 @@
         RequestGuard(Arc::clone(self))
     }
 
+    /// Waits until no request has been received completely for `timeout`, with none in flight.
+    pub(crate) async fn idle_for(&self, timeout: Duration) {
+        loop {
+            let idle_since = self.lock_activity().idle_since();
+            let idle_time = idle_since.map_or(Duration::ZERO, |since| since.elapsed());
+            if idle_time >= timeout {
+                return;
+            }
+            tokio::time::sleep(timeout - idle_time).await;
+        }
+    }
+
     /// Returns since when the connection has not been used, and whether this side has closed it
     /// already and only waits for the caller; `None` if it is in use or has ended.
     pub(crate) fn unused_since(&self) -> Option<(bool, Instant)> {
--- a/ibiscroft-listener/src/server.rs
+++ b/ibiscroft-listener/src/server.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 
 use crate::acceptor::{ConnectionAcceptor, ConnectionStream};
+use crate::connection::Connection;
 
 /// Maximum number of header fields of a request: as many as fit into a head of 16 KiB, as the
 /// shortest one has 4 bytes. The HTTP library reserves memory for all of them for each head.
@@ -37,22 +38,32 @@
 #[derive(Debug)]
 pub struct Server {
     acceptor: ConnectionAcceptor,
+    idle_timeout: Option<Duration>,
 }
 
 impl Server {
     /// Creates a server for the connections of `acceptor`.
     #[must_use]
     pub const fn new(acceptor: ConnectionAcceptor) -> Self {
-        Self { acceptor }
+        Self { acceptor, idle_timeout: None }
+    }
+
+    /// Sets how long a connection may stay without a complete request before it is closed; requests
+    /// in flight are not interrupted. By default there is no limit.
+    #[must_use]
+    pub const fn idle_timeout(mut self, timeout: Duration) -> Self {
+        self.idle_timeout = Some(timeout);
+        self
     }
 
     /// Serves requests with `endpoint` until `stop` completes. Then no connection is accepted, idle
-    /// ones are closed, and those with a request in flight get `drain_timeout` to complete it.
+    /// ones are closed, and those with a request in flight get `drain_timeout` to complete it, or as
+    /// long as it takes if that is `None`.
     pub async fn run_until<E: Endpoint + 'static>(
         mut self,
         endpoint: E,
         stop: impl Future<Output = ()>,
-        drain_timeout: Duration,
+        drain_timeout: Option<Duration>,
     ) {
         let endpoint = Arc::new(endpoint);
         let phase = watch::Sender::new(Phase::Serving);
@@ -69,14 +80,22 @@
                         }
                     };
                     let endpoint = Arc::clone(&endpoint);
-                    tokio::spawn(serve(stream, local, remote, endpoint, phase.subscribe()));
+                    let connection = Arc::clone(stream.connection());
+                    let serving = serve(stream, local, remote, endpoint, phase.subscribe());
+                    tokio::spawn(end_when_idle(serving, connection, self.idle_timeout));
                 }
             }
         }
         drop(self.acceptor);
         phase.send_replace(Phase::Draining);
-        if tokio::time::timeout(drain_timeout, phase.closed()).await.is_err() {
-            phase.send_replace(Phase::Ended);
+        match drain_timeout {
+            None => phase.closed().await,
+            Some(timeout) => {
+                let drained = tokio::time::timeout(timeout, phase.closed()).await;
+                if drained.is_err() {
+                    phase.send_replace(Phase::Ended);
+                }
+            }
         }
     }
 }
@@ -115,6 +134,21 @@
     }
 }
 
+/// Serves a connection until it ends or has been idle for `timeout`.
+async fn end_when_idle(
+    serving: impl Future<Output = ()>,
+    connection: Arc<Connection>,
+    timeout: Option<Duration>,
+) {
+    let Some(timeout) = timeout else {
+        return serving.await;
+    };
+    tokio::select! {
+        () = serving => {}
+        () = connection.idle_for(timeout) => {}
+    }
+}
+
 /// Waits until the server has reached a phase or has returned.
 async fn wait_for(phase: &mut watch::Receiver<Phase>, reached: Phase) {
     let _ = phase.wait_for(|phase| *phase >= reached).await;
