--- a/ibiscroft-listener/src/connection.rs
+++ b/ibiscroft-listener/src/connection.rs
@@ -13,7 +13,8 @@
 
 use crate::activity::{Activity, Phase};
 use crate::bounds::ConnectionBounds;
-use crate::read_ahead::{READ_AHEAD_CHUNK_BYTES, ReadAhead};
+use crate::read_ahead::{READ_AHEAD_CHUNK_BYTES, ReadAhead, ReadAheadOutcome};
+use crate::refusals::{HEAD_LATE, HEAD_TOO_LONG, HEAD_TOO_LONG_AT_PRESENT, HTTP2_REFUSED};
 
 /// Time after which a connection that could not receive ahead tries again: the memory may have been
 /// freed by another one.
@@ -21,18 +22,6 @@
 /// Maximum number of bytes that the server receives at once; it allocates a multiple of what it
 /// received before.
 const MAX_READ_BYTES: usize = 16 << 10;
-/// Response to a request head that is too long.
-const HEAD_TOO_LONG: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
-    Connection: close\r\nContent-Length: 0\r\n\r\n";
-/// Response to a request head that is too long by a limit that may have been raised.
-const HEAD_TOO_LONG_AT_PRESENT: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
-    Retry-After: 0.2\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
-/// Response to a request head that is late.
-const HEAD_LATE: &[u8] =
-    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
-/// Response to HTTP/2, which is not accepted.
-const HTTP2_REFUSED: &[u8] = b"HTTP/1.1 505 HTTP Version Not Supported\r\n\
-    Connection: close\r\nContent-Length: 0\r\n\r\n";
 /// Time for which bytes of the caller are discarded after this side has closed.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of bytes that are discarded after this side has closed.
@@ -75,14 +64,6 @@
     }
 }
 
-/// Result of receiving ahead.
-enum ReadAheadOutcome {
-    Received,
-    WouldBlock,
-    Full,
-    Ended,
-}
-
 impl Connection {
     pub(crate) fn new(stream: TcpStream, bounds: Arc<ConnectionBounds>) -> Self {
         Self {
--- a/ibiscroft-listener/src/lib.rs
+++ b/ibiscroft-listener/src/lib.rs
@@ -12,6 +12,7 @@
 mod connection;
 mod connections;
 mod read_ahead;
+mod refusals;
 mod send_window;
 mod server;
 
--- a/ibiscroft-listener/src/read_ahead.rs
+++ b/ibiscroft-listener/src/read_ahead.rs
@@ -13,6 +13,14 @@
 /// Number of bytes received at once while a handler runs, and smallest size of the buffer.
 pub(crate) const READ_AHEAD_CHUNK_BYTES: usize = 4 << 10;
 
+/// Result of receiving ahead.
+pub(crate) enum ReadAheadOutcome {
+    Received,
+    WouldBlock,
+    Full,
+    Ended,
+}
+
 /// Bytes received while a handler runs, such as further requests of a caller that does not wait for
 /// responses. All connections share the memory for them.
 #[derive(Debug)]
