--- a/review/standin-2/gateway.rs
+++ b/review/standin-2/gateway.rs
@@ -90,9 +90,19 @@
     process: Arc<Mutex<Option<Process>>>,
 }
 
+/// Addresses that were given to daemons. Their ports are free again until the daemons listen.
+static GIVEN: Mutex<Vec<SocketAddr>> = Mutex::new(Vec::new());
+
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("find a free port");
-    listener.local_addr().expect("address of a free port")
+    let mut given = GIVEN.lock().expect("addresses");
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("find a free port");
+        let address = listener.local_addr().expect("address of a free port");
+        if !given.contains(&address) {
+            given.push(address);
+            return address;
+        }
+    }
 }
 
 impl Gateway {
@@ -184,6 +194,9 @@
     pub fn wait_until_ready(&self) -> Result<(), String> {
         let until = Instant::now() + START_TIMEOUT;
         while !self.is_ready() {
+            if self.has_exited() {
+                return Err(format!("{} ended by itself", self.name));
+            }
             if Instant::now() > until {
                 return Err(format!("{} is not ready", self.name));
             }
