--- a/review/standin-2/gateway.rs
+++ b/review/standin-2/gateway.rs
@@ -9,11 +9,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::net::{SIGTERM, call, quoted, send_signal};
+use crate::net::{call, quoted};
 use crate::record::Record;
 
-/// Time after SIGTERM until SIGKILL.
-pub const GRACE: Duration = Duration::from_secs(6);
+/// Grace period of a planned stop, in the settings only.
+const GRACE: Duration = Duration::from_secs(6);
 /// Time for a daemon to start.
 const START_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -62,7 +62,8 @@
     while let Some(start) = text.find("{{") {
         let end = text[start..].find("}}").ok_or("a placeholder does not end")? + start;
         let word = text[start + 2..end].to_string();
-        let (name, is_json) = word.strip_suffix("|json").map_or((word.as_str(), false), |n| (n, true));
+        let (name, is_json) =
+            word.strip_suffix("|json").map_or((word.as_str(), false), |n| (n, true));
         let value = fields.get(name).ok_or(format!("the placeholder {name} is not known"))?;
         let value = if is_json { value.clone() } else { value.trim_matches('"').to_string() };
         text = text[..start].to_string() + &value + &text[end + 2..];
@@ -70,14 +71,7 @@
     Ok(text)
 }
 
-struct Process {
-    child: Child,
-    started_at: f64,
-    /// When SIGTERM was sent to the present process.
-    stopped_at: Option<f64>,
-}
-
-/// A daemon that is started again after each stop; clones share its process.
+/// A daemon; clones share its process.
 #[derive(Clone)]
 pub struct Gateway {
     pub name: String,
@@ -87,7 +81,7 @@
     settings: PathBuf,
     log: PathBuf,
     record: Record,
-    process: Arc<Mutex<Option<Process>>>,
+    process: Arc<Mutex<Option<Child>>>,
 }
 
 /// Addresses that were given to daemons. Their ports are free again until the daemons listen.
@@ -178,8 +172,7 @@
         let child = command.stdout(log).stderr(errors).spawn();
         let child = child.map_err(|error| format!("start {}: {error}", self.name))?;
         self.record.add("start", "", &self.name, "");
-        let process = Process { child, started_at: self.record.now(), stopped_at: None };
-        *self.process.lock().expect("process") = Some(process);
+        *self.process.lock().expect("process") = Some(child);
         Ok(())
     }
 
@@ -206,60 +199,17 @@
         Ok(())
     }
 
-    /// Stops the daemon by SIGTERM, and by SIGKILL after the grace period, and starts it again.
-    pub fn stop_and_start(&self) -> Result<(), String> {
-        let now = self.record.now();
-        let mut process = self.process.lock().expect("process");
-        let Some(running) = process.as_mut() else {
-            return Err(format!("{} does not run", self.name));
-        };
-        running.stopped_at = Some(now);
-        self.record.add("SIGTERM", "", &self.name, "");
-        send_signal(running.child.id(), SIGTERM);
-        drop(process);
-        let until = Instant::now() + GRACE;
-        loop {
-            let mut process = self.process.lock().expect("process");
-            let running = process.as_mut().ok_or("the process is gone")?;
-            match running.child.try_wait() {
-                Ok(Some(status)) => {
-                    self.record.add("exit", "", &self.name, &status.to_string());
-                    break;
-                }
-                _ if Instant::now() >= until => {
-                    let _ = running.child.kill();
-                    let _ = running.child.wait();
-                    self.record.add("SIGKILL", "", &self.name, "");
-                    break;
-                }
-                _ => {}
-            }
-            drop(process);
-            thread::sleep(Duration::from_millis(20));
-        }
-        self.spawn()
-    }
-
-    /// Returns whether the process has run without a start or a SIGTERM in the time `contact`
-    /// before `at`, in seconds.
-    pub fn has_run_for(&self, at: f64, contact: f64) -> bool {
-        let process = self.process.lock().expect("process");
-        process.as_ref().is_some_and(|running| {
-            running.stopped_at.is_none() && at - running.started_at >= contact
-        })
-    }
-
     /// Returns whether the process has ended by itself.
     pub fn has_exited(&self) -> bool {
         let mut process = self.process.lock().expect("process");
-        process.as_mut().is_none_or(|running| !matches!(running.child.try_wait(), Ok(None)))
+        process.as_mut().is_none_or(|running| !matches!(running.try_wait(), Ok(None)))
     }
 
     /// Ends the process.
     pub fn kill(&self) {
         if let Some(mut running) = self.process.lock().expect("process").take() {
-            let _ = running.child.kill();
-            let _ = running.child.wait();
+            let _ = running.kill();
+            let _ = running.wait();
         }
     }
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,7 +4,6 @@
 
 mod gateway;
 mod net;
-mod poison;
 mod record;
 mod several;
 mod store;
@@ -44,7 +43,6 @@
         exit(2);
     });
     let result = match case.as_str() {
-        "poison" => poison::play(&world, has_trouble),
         "several" => {
             let sizes = Sizes { gateways: 6, targets: 12, requests: 4, clients: 8 };
             several::play(&world, &sizes, has_trouble)
--- a/review/standin-2/net.rs
+++ b/review/standin-2/net.rs
@@ -1,22 +1,10 @@
-//! HTTP/1.1 on blocking sockets, JSON, base64 and a few calls of the C library.
+//! HTTP/1.1 on blocking sockets, JSON and base64.
 
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
 use std::time::Duration;
 
-unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
-pub const SIGTERM: i32 = 15;
-
-/// Sends a signal to a child process that has not been reaped.
-pub fn send_signal(pid: u32, signal: i32) {
-    // SAFETY: `kill` has no preconditions.
-    unsafe { kill(pid as i32, signal) };
-}
-
 /// Head and body of a request or a response.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
@@ -86,13 +74,15 @@
     let head = String::from_utf8_lossy(&buf[..end]).into_owned();
     buf.drain(..end + 4);
     let mut lines = head.split("\r\n");
-    let mut message = Message { start: lines.next().unwrap_or("").to_string(), ..Message::default() };
+    let mut message =
+        Message { start: lines.next().unwrap_or("").to_string(), ..Message::default() };
     for line in lines {
         if let Some((name, value)) = line.split_once(':') {
             message.fields.push((name.to_ascii_lowercase(), value.trim().to_string()));
         }
     }
-    let is_chunked = message.field("transfer-encoding").is_some_and(|value| value.contains("chunked"));
+    let is_chunked =
+        message.field("transfer-encoding").is_some_and(|value| value.contains("chunked"));
     if is_chunked {
         loop {
             let line = read_line(stream, buf)?;
--- a/review/standin-2/several.rs
+++ b/review/standin-2/several.rs
@@ -93,13 +93,10 @@
     attempts
 }
 
-fn judge(
-    world: &World,
-    attempts: &[Vec<Attempt>],
-    has_trouble: bool,
-) -> Result<Verdict, String> {
+fn judge(world: &World, attempts: &[Vec<Attempt>], has_trouble: bool) -> Result<Verdict, String> {
     let lines = world.record.lines();
-    let with = |what: &str| -> Vec<&Line> { lines.iter().filter(|line| line.what == what).collect() };
+    let with =
+        |what: &str| -> Vec<&Line> { lines.iter().filter(|line| line.what == what).collect() };
     let (crashes, reaches) = (with("crash"), with("reaches"));
     let lost = with("crashed").len();
     let ordinary = with("sent").iter().filter(|line| line.request.starts_with("o-")).count();
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -159,8 +159,11 @@
                 let state = self.lock();
                 let mut rest =
                     state.items.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after);
-                let page: Vec<String> =
-                    rest.by_ref().take(PAGE_ITEMS).map(|(key, item)| item_json(key, item)).collect();
+                let page: Vec<String> = rest
+                    .by_ref()
+                    .take(PAGE_ITEMS)
+                    .map(|(key, item)| item_json(key, item))
+                    .collect();
                 let has_more = rest.next().is_some();
                 let items = page.join(",");
                 let revision = state.revision;
@@ -241,7 +244,10 @@
             return ("404 Not Found", "{}".to_string());
         }
         let is_reserved = |key: &str| key.starts_with("op/") || key.starts_with("servers/");
-        let mut keys = list("puts").iter().map(key_of).chain(list("delete").iter().map(|key| key.text().to_string()));
+        let mut keys = list("puts")
+            .iter()
+            .map(key_of)
+            .chain(list("delete").iter().map(|key| key.text().to_string()));
         if keys.any(|key| is_reserved(&key)) {
             return ("403 Forbidden", "{}".to_string());
         }
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -133,18 +133,21 @@
         (id, answer)
     }
 
-    /// Sends ordinary requests to the daemons that are ready, in a thread, until the case is over.
-    pub fn send_ordinary(&self, gateways: &[Gateway], seed: u64, pause: Duration) -> JoinHandle<()> {
+    /// Sends ordinary requests to the daemons, in a thread, until the case is over.
+    pub fn send_ordinary(
+        &self,
+        gateways: &[Gateway],
+        seed: u64,
+        pause: Duration,
+    ) -> JoinHandle<()> {
         let (world, gateways) = (self.clone(), gateways.to_vec());
         thread::spawn(move || {
             let mut random = Random(seed);
             while !world.is_over.load(Ordering::Relaxed) {
                 let gateway = &gateways[random.below(gateways.len())];
-                if gateway.has_run_for(world.record.now(), 1.0) {
-                    let number = world.last_id.fetch_add(1, Ordering::Relaxed);
-                    let path = format!("/orders/{number}");
-                    let _ = world.send(gateway, "o-", &path, &format!("order {number}"));
-                }
+                let number = world.last_id.fetch_add(1, Ordering::Relaxed);
+                let path = format!("/orders/{number}");
+                let _ = world.send(gateway, "o-", &path, &format!("order {number}"));
                 thread::sleep(pause);
             }
         })
