--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -115,6 +115,11 @@
         (store, address)
     }
 
+    /// Removes an item.
+    pub fn delete(&self, key: &str) {
+        self.lock().remove(key);
+    }
+
     /// Writes an entry as the operator or a target does.
     pub fn put(&self, key: &str, value: &str) {
         self.lock().put(key, &base64(value.as_bytes()), 0);
--- a/review/standin-2/target.rs
+++ b/review/standin-2/target.rs
@@ -20,6 +20,10 @@
 const QUEUE: u64 = 12;
 /// Part of the path of a request that crashes the target which begins to run it.
 pub const POISON: &str = "poison";
+/// Of this many returns after a crash, one is under the former id; the others are under a new one.
+const RETURNS_PER_FORMER_ID: u64 = 4;
+/// Number of returns of all targets so far.
+static RETURNS: AtomicU64 = AtomicU64::new(1);
 /// Time that a target works on such a request before it crashes.
 const POISON_TIME: Duration = Duration::from_millis(20);
 
@@ -203,7 +207,7 @@
     }
 
     /// Ends the run because of a request: the port and all connections are closed. The target comes
-    /// back later under its id, as a new run.
+    /// back later as a new run, mostly under a new id.
     fn crash(&self, run: u64, request_id: &str) {
         let mut state = self.state.lock().expect("state");
         if state.run != run {
@@ -225,6 +229,11 @@
         let target = self.clone();
         thread::spawn(move || {
             thread::sleep(target.plan.down);
+            let number = RETURNS.fetch_add(1, Ordering::SeqCst);
+            if !number.is_multiple_of(RETURNS_PER_FORMER_ID) {
+                target.replace(number);
+                return;
+            }
             let listener = loop {
                 match TcpListener::bind(target.address) {
                     Ok(listener) => break listener,
@@ -242,6 +251,17 @@
             target.register();
         });
     }
+
+    /// Starts a target with a new id in place of this one, whose entry is removed after three
+    /// heartbeat intervals of silence.
+    fn replace(&self, number: u64) {
+        let id = format!("i-9{number:06x}");
+        self.record.add("back", "", &id, &format!("in place of {}", self.plan.id));
+        let plan = Plan { id, ..(*self.plan).clone() };
+        Self::start(plan, &self.store, &self.record);
+        thread::sleep((3 * HEARTBEAT).saturating_sub(self.plan.down));
+        self.store.delete(&format!("servers/{}", self.plan.id));
+    }
 }
 
 fn unix_millis() -> u64 {
